--- /dev/null
+++ b/adapter/main.cpp
@@ -0,0 +1,18 @@
+// beamshunt_adapter: the simulator's wire on standard input and output.
+#include <exception>
+#include <iostream>
+
+#include "session.h"
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  std::cin.tie(nullptr);
+  beamshunt::wire::Session session(std::cin, std::cout);
+  try {
+    session.run();
+  } catch (const std::exception& error) {
+    std::cerr << "beamshunt_adapter: line " << session.line_number() << ": " << error.what() << std::endl;
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/adapter/settings.cpp
@@ -0,0 +1,152 @@
+// The settings of INIT: path=value pairs to Settings. Unknown keys are skipped; a needed one that is missing
+// is an error that names it.
+#include <charconv>
+#include <cmath>
+
+#include "codec.h"
+
+namespace beamshunt::wire {
+namespace {
+
+class Pairs {
+ public:
+  explicit Pairs(std::string_view text) {
+    while (!text.empty()) {
+      std::size_t space = text.find(' ');
+      std::string_view pair = text.substr(0, space);
+      text = space == std::string_view::npos ? std::string_view{} : text.substr(space + 1);
+      std::size_t equals = pair.find('=');
+      if (equals == std::string_view::npos || equals == 0)
+        throw WireError("setting is not path=value: '" + std::string(pair) + "'");
+      values_[std::string(pair.substr(0, equals))] = std::string(pair.substr(equals + 1));
+    }
+  }
+
+  const std::string& text(const std::string& key) const {
+    auto found = values_.find(key);
+    if (found == values_.end()) throw WireError("setting " + key + " is missing");
+    return found->second;
+  }
+  bool has(const std::string& key) const { return values_.contains(key); }
+
+  double number(const std::string& key) const {
+    const std::string& word = text(key);
+    double value = 0;
+    auto [end, error] = std::from_chars(word.data(), word.data() + word.size(), value);
+    if (error != std::errc{} || end != word.data() + word.size() || !std::isfinite(value) || value < 0)
+      throw WireError("setting " + key + " is not a number of 0 or more: '" + word + "'");
+    return value;
+  }
+  double number_or(const std::string& key, double otherwise) const {
+    return has(key) ? number(key) : otherwise;
+  }
+  Duration duration(const std::string& key) const { return milliseconds(number(key)); }
+  std::uint64_t count(const std::string& key, std::uint64_t most) const {
+    double value = number(key);
+    if (value != std::floor(value) || value > static_cast<double>(most))
+      throw WireError("setting " + key + " is not a whole number up to " + std::to_string(most) + ": '" +
+                      text(key) + "'");
+    return static_cast<std::uint64_t>(value);
+  }
+  bool flag(const std::string& key) const { return to_flag(key, text(key)); }
+  bool flag_or(const std::string& key, bool otherwise) const { return has(key) ? flag(key) : otherwise; }
+
+  std::vector<std::string> list(const std::string& key) const {
+    std::vector<std::string> out;
+    std::string_view words = text(key);
+    while (!words.empty()) {
+      std::size_t comma = words.find(',');
+      out.emplace_back(words.substr(0, comma));
+      words = comma == std::string_view::npos ? std::string_view{} : words.substr(comma + 1);
+    }
+    return out;
+  }
+
+  template <typename Value>
+  Value choice(const std::string& key, std::initializer_list<std::pair<const char*, Value>> choices) const {
+    const std::string& word = text(key);
+    for (const auto& [name, value] : choices)
+      if (word == name) return value;
+    throw WireError("setting " + key + " is unknown: '" + word + "'");
+  }
+
+  static bool to_flag(const std::string& key, const std::string& word) {
+    if (word == "true" || word == "1") return true;
+    if (word == "false" || word == "0") return false;
+    throw WireError("setting " + key + " is neither true nor false: '" + word + "'");
+  }
+
+ private:
+  std::map<std::string, std::string> values_;
+};
+
+RequestClass parse_class(const Pairs& p, const std::string& at) {
+  RequestClass c;
+  c.slo = p.duration(at + "slo");
+  c.deadline = p.duration(at + "deadline");
+  c.worth = p.number_or(at + "points", 1);
+  c.semantics = p.choice<Semantics>(
+      at + "semantics",
+      {{"retryable", Semantics::retryable}, {"dedup", Semantics::dedup}, {"fragile", Semantics::fragile}});
+  if (c.semantics == Semantics::dedup) {
+    c.dedup_window = p.duration(at + "window");
+    c.scope = p.choice<DedupScope>(
+        at + "key_scope", {{"all", DedupScope::all}, {"zone", DedupScope::zone}, {"cell", DedupScope::cell}});
+  }
+  return c;
+}
+
+}  // namespace
+
+std::pair<Settings, Names> parse_settings(std::uint64_t seed, std::string_view text) {
+  constexpr std::uint64_t kMostClasses = 63;  // a mask of classes fits 64 bits
+  constexpr std::uint64_t kMostSlices = 65535;
+  constexpr std::uint64_t kMostPushes = 1000000000;
+  Pairs p(text);
+  Settings s;
+  Names names;
+  s.seed = seed;
+  names.localities = p.list("azs");
+  s.localities = names.localities;
+  s.home = locality(names, p.text("locality"));
+  std::uint64_t classes = p.count("classes.count", kMostClasses);
+  std::vector<std::string> home_only;
+  if (p.has("family_info.home_only")) home_only = p.list("family_info.home_only");
+  for (std::uint64_t i = 0; i < classes; ++i) {
+    std::string at = "classes." + std::to_string(i) + ".";
+    names.classes.push_back(p.text(at + "name"));
+    s.classes.push_back(parse_class(p, at));
+    if (i < home_only.size())
+      s.classes.back().home_only = Pairs::to_flag("family_info.home_only", home_only[i]);
+  }
+  s.list_on_request = p.choice<bool>("discovery", {{"on_request", true}, {"pushed", false}});
+  s.may_probe = p.flag_or("limits.may_probe", false);
+  s.slices = static_cast<int>(p.count("family_info.key_ranges", kMostSlices));
+  s.single_writer = p.flag_or("family_info.single_writer", false);
+  s.level_kind = p.choice<LevelKind>(
+      "family_info.level_kind",
+      {{"share", LevelKind::share}, {"rate", LevelKind::rate}, {"none", LevelKind::none}});
+  s.default_retry = static_cast<RetryMode>(p.count("family_info.default_retry", 3));
+  s.retry_wait_factor = p.number("family_info.try_factor");
+  s.egress_lines_per_s = p.number("family_info.egress_per_s");
+  s.envelope_lines = p.number("family_info.envelope");
+  s.most_waiting_lines = p.number("family_info.most_waiting");
+  s.pushes_allowed = static_cast<int>(p.count("family_info.pushes_allowed", kMostPushes));
+  s.pushes_span = p.duration("family_info.messages_over");
+  s.push_delay = p.duration("family_info.push_delay");
+  s.push_delay_most = p.duration("family_info.late_most");
+  s.period = p.duration("family_info.period");
+  s.empty_for = p.duration("family_info.empty_for");
+  s.lease = milliseconds(p.number_or("family_info.tenure", 0));
+  s.settle = milliseconds(p.number_or("family_info.settle", 0));
+  s.must_ask_in = s.list_on_request ? p.duration("guarantees.must_ask_in") : Duration{};
+  s.drain_grace = p.duration("guarantees.drain_grace");
+  s.warm_up = p.duration("guarantees.warm_up");
+  s.fall = p.duration("guarantees.fall");
+  s.start_capacity = p.number("guarantees.start_capacity");
+  s.tip_multiple = p.number("guarantees.tip_multiple");
+  s.gone_is_advice = p.flag_or("guarantees.gone_is_advice", false);
+  return {std::move(s), std::move(names)};
+}
+
+}  // namespace beamshunt::wire
