--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -12,8 +12,11 @@
 namespace {
 
 // ---- Constants: unit, reason ----
-constexpr Duration kStep{1000};       // BFAIR and weight step, from the paper: once a second
-constexpr double kSmoothing = 0.3;    // weight of the newest sample in every smoothed estimate
+constexpr Duration kStep{1000};     // BFAIR and weight step, from the paper: once a second
+constexpr double kSmoothing = 0.3;  // weight of the newest sample in every smoothed estimate
+constexpr double kBaseSmoothing =
+    0.1;                              // the same for the baseline: the lowest of a short mean would be noise
+constexpr double kBaseTries = 20;     // answered tries before a baseline is taken
 constexpr double kSlowdownMost = 10;  // T: slowdown above which a server counts as the bottleneck, at most
 constexpr double kSlowdownLeast = 2;  // and at least: below it queueing is ordinary
 constexpr double kSloPart = 0.6;      // T in between: mean latency reaches this part of the tightest SLO
@@ -47,8 +50,8 @@
 std::size_t at(Id id) {
   return static_cast<std::size_t>(id);
 }
-void smooth(double& value, double sample, bool first) {
-  value = first ? sample : value + kSmoothing * (sample - value);
+void smooth(double& value, double sample, double weight, bool first) {
+  value = first ? sample : value + weight * (sample - value);
 }
 
 // What one locality's proxies met at one endpoint. Health is kept by path: a cut between localities looks
@@ -66,7 +69,7 @@
 
 struct Endpoint {
   ListedEndpoint listed;
-  double latency = 0, base = 0;  // smoothed, and the lowest of it (ms)
+  double latency = 0, steady = 0, base = 0;  // smoothed, smoothed longer, and the lowest of that (ms)
   double new_latency_sum = 0, new_latency_count = 0, samples = 0;
   double load = 0, new_tries = 0;  // tries a second, smoothed
   double nudge = 1;                // what the weight step makes of the listed size
@@ -255,7 +258,7 @@
     auto found = proxies.find(e.proxy);
     if (found == proxies.end() || e.span.count() <= 0) return;
     std::size_t c = at(e.request_class);
-    smooth(found->second.came[c], e.came / (e.span.count() / 1000), !found->second.heard[c]);
+    smooth(found->second.came[c], e.came / (e.span.count() / 1000), kSmoothing, !found->second.heard[c]);
     found->second.heard[c] = true;
   }
 
@@ -293,11 +296,12 @@
     for (auto& [id, ep] : endpoints) {
       if (ep.new_latency_count > 0) {
         double sample = ep.new_latency_sum / ep.new_latency_count;
-        smooth(ep.latency, sample, ep.samples == 0);
+        smooth(ep.latency, sample, kSmoothing, ep.samples == 0);
+        smooth(ep.steady, sample, kBaseSmoothing, ep.samples == 0);
         ep.samples += ep.new_latency_count;
-        if (ep.samples >= 8) ep.base = ep.base > 0 ? std::min(ep.base, ep.latency) : ep.latency;
+        if (ep.samples >= kBaseTries) ep.base = ep.base > 0 ? std::min(ep.base, ep.steady) : ep.steady;
       }
-      smooth(ep.load, ep.new_tries / (set.period.count() / 1000), false);
+      smooth(ep.load, ep.new_tries / (set.period.count() / 1000), kSmoothing, false);
       for (auto& [z, path] : ep.paths) {
         path.good = path.good * kFailKeep + path.new_good;
         path.bad = path.bad * kFailKeep + path.new_bad;
@@ -346,7 +350,7 @@
     if (ep.base <= 0) return kSlowdownMost;
     Duration tightest = set.classes.front().slo;
     for (const RequestClass& c : set.classes) tightest = std::min(tightest, c.slo);
-    return std::clamp(kSloPart * tightest.count() / ep.base, kSlowdownLeast, kSlowdownMost);
+    return std::clamp(1 + kSloPart * tightest.count() / ep.base, kSlowdownLeast, kSlowdownMost);
   }
 
   bool ejected(const Endpoint& ep, Locality from) const {
