--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -23,6 +23,7 @@
 constexpr double kAlpha = 0.1;        // part of the bottleneck's demand that a cut takes away
 constexpr double kBeta = 0.05;        // growth of a rate that isn't cut, each step
 constexpr int kCutWaitPeriods = 3;    // periods above T before the first cut
+constexpr double kCommon = 0.5;       // part of T's queueing that the load-weighted mean must show as well
 constexpr double kRateOverUse = 2;    // a rate grows only while under this multiple of its class's throughput
 constexpr double kMoved = 0.1;        // a weight or level is sent once it moved by over this part
 constexpr double kBandRatio = 4;      // proxies within one band differ by at most this in usual rate
@@ -387,7 +388,12 @@
     }
     for (double d : demand) capacity += (1 - kAlpha) * d;
     std::vector<double> fair = max_min_shares(capacity, demand);
-    bool overloaded = slowest->slow_periods >= kCutWaitPeriods;
+    // Exception: one server far slower than the rest is drained by its weight; cutting whole classes for it
+    // would refuse work that the others can do. Cuts wait for queueing that the mean shows too.
+    bool common = mean_slowdown() - 1 >= kCommon * (threshold(*slowest) - 1);
+    bool overloaded = slowest->slow_periods >= kCutWaitPeriods && common;
+    if (overloaded)  // the next cut waits for this one's effect
+      for (auto& [id, ep] : endpoints) ep.slow_periods = 0;
     for (std::size_t c = 0; c < n; ++c) {
       double used = throughput(c);
       Rate& rate = rates[c];
