--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -24,6 +24,7 @@
 constexpr double kBeta = 0.05;        // growth of a rate that isn't cut, each step
 constexpr int kCutWaitPeriods = 3;    // periods above T before the first cut
 constexpr double kCommon = 0.5;       // part of T's queueing that the load-weighted mean must show as well
+constexpr int kUnheardPeriods = 4;    // periods without a try that ended: unheard
 constexpr double kRateOverUse = 2;    // a rate grows only while under this multiple of its class's throughput
 constexpr double kMoved = 0.1;        // a weight or level is sent once it moved by over this part
 constexpr double kBandRatio = 4;      // proxies within one band differ by at most this in usual rate
@@ -75,7 +76,7 @@
   double load = 0, new_tries = 0;  // tries a second, smoothed
   double nudge = 1;                // what the weight step makes of the listed size
   int probes_good = 0;
-  int slow_periods = 0;
+  int slow_periods = 0, silent_periods = 0;
   std::map<Locality, Path> paths;
   bool open() const { return listed.state == EndpointState::in_service; }
 };
@@ -295,6 +296,7 @@
     for (std::size_t z = 0; z < set.localities.size(); ++z) part[Locality(z)] = expected_parts(Locality(z));
     Duration lag = set.push_delay_most + set.period * 2 + kStep * 2;  // order out, tries, report back
     for (auto& [id, ep] : endpoints) {
+      ep.silent_periods = ep.new_tries > 0 ? 0 : ep.silent_periods + 1;
       if (ep.new_latency_count > 0) {
         double sample = ep.new_latency_sum / ep.new_latency_count;
         smooth(ep.latency, sample, kSmoothing, ep.samples == 0);
@@ -340,8 +342,13 @@
     return tries >= kFailsLeast ? bad / tries : 0;
   }
 
+  // An unheard endpoint counts as average, by having no say: its last figure may be long out of date.
+  bool counts(const Endpoint& ep) const {
+    return ep.open() && ep.base > 0 && ep.silent_periods < kUnheardPeriods;
+  }
+
   // Latency over the lowest seen; failed tries count as so much more waiting, lest a server that turns work
-  // away look fast. An unheard endpoint counts as average, by having no say.
+  // away look fast.
   double slowdown(const Endpoint& ep) const {
     if (ep.base <= 0) return 1;
     return ep.latency / ep.base / std::max(0.2, 1 - fail_share(ep));
@@ -354,23 +361,23 @@
     return std::clamp(1 + kSloPart * tightest.count() / ep.base, kSlowdownLeast, kSlowdownMost);
   }
 
-  bool ejected(const Endpoint& ep, Locality from) const {
-    auto own = ep.paths.find(ep.listed.locality), path = ep.paths.find(from);
-    return (own != ep.paths.end() && own->second.ejected) || (path != ep.paths.end() && path->second.ejected);
-  }
-
-  double mean_slowdown() const {
+  double mean_of(double (State::*figure)(const Endpoint&) const) const {
     double sum = 0, weight = 0;
     for (const auto& [id, ep] : endpoints)
-      if (ep.open() && ep.base > 0 && ep.load > 0) sum += ep.load * slowdown(ep), weight += ep.load;
+      if (counts(ep)) sum += ep.load * (this->*figure)(ep), weight += ep.load;
     return weight > 0 ? sum / weight : 1;
   }
 
+  bool ejected(const Endpoint& ep, Locality from) const {
+    auto own = ep.paths.find(ep.listed.locality), path = ep.paths.find(from);
+    return (own != ep.paths.end() && own->second.ejected) || (path != ep.paths.end() && path->second.ejected);
+  }
+
   // ---- The BFAIR step ----
   void bfair_step() {
     const Endpoint* slowest = nullptr;
     for (const auto& [id, ep] : endpoints)
-      if (ep.open() && ep.base > 0 && !ejected(ep, ep.listed.locality) &&
+      if (counts(ep) && !ejected(ep, ep.listed.locality) &&
           (!slowest || slowdown(ep) / threshold(ep) > slowdown(*slowest) / threshold(*slowest)))
         slowest = &ep;
     if (!slowest) return;
@@ -390,10 +397,11 @@
     std::vector<double> fair = max_min_shares(capacity, demand);
     // Exception: one server far slower than the rest is drained by its weight; cutting whole classes for it
     // would refuse work that the others can do. Cuts wait for queueing that the mean shows too.
-    bool common = mean_slowdown() - 1 >= kCommon * (threshold(*slowest) - 1);
+    bool common = mean_of(&State::slowdown) - 1 >= kCommon * (mean_of(&State::threshold) - 1);
     bool overloaded = slowest->slow_periods >= kCutWaitPeriods && common;
-    if (overloaded)  // the next cut waits for this one's effect
-      for (auto& [id, ep] : endpoints) ep.slow_periods = 0;
+    if (overloaded) {
+      for (auto& [id, ep] : endpoints) ep.slow_periods = 0;  // the next cut waits for this one's effect
+    }
     for (std::size_t c = 0; c < n; ++c) {
       double used = throughput(c);
       Rate& rate = rates[c];
@@ -410,9 +418,9 @@
 
   // ---- The weight step ----
   void weight_step() {
-    double mean = mean_slowdown();
+    double mean = mean_of(&State::slowdown);
     for (auto& [id, ep] : endpoints) {
-      if (!ep.open() || ep.base <= 0) continue;
+      if (!counts(ep)) continue;
       double off = slowdown(ep) / mean;
       if (off < 1 + kDeadBand && off > 1 / (1 + kDeadBand)) continue;
       ep.nudge = std::clamp(ep.nudge * std::pow(off, -kWeightGain), kWeightLeast, kWeightMost);
@@ -545,7 +553,7 @@
   // ---- Retry modes ----
   RetryMode retry_mode(std::size_t c) const {
     const RequestClass& rc = set.classes[c];
-    bool loaded = mean_slowdown() > 2;
+    bool loaded = mean_of(&State::slowdown) > 2;
     for (const Rate& r : rates) loaded |= r.limited();
     bool repeat_is_safe = rc.semantics == Semantics::retryable ||
                           (rc.semantics == Semantics::dedup && rc.scope == DedupScope::all &&
