--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -23,7 +23,8 @@
 constexpr double kAlpha = 0.1;        // part of the bottleneck's demand that a cut takes away
 constexpr double kBeta = 0.05;        // growth of a rate that isn't cut, each step
 constexpr int kCutWaitPeriods = 3;    // periods above T before the first cut
-constexpr double kCommon = 0.5;       // part of T's queueing that the load-weighted mean must show as well
+constexpr double kCommon = 0.5;       // part of T from which a server counts as queueing
+constexpr double kMostLoad = 0.5;     // part of the load that must meet queueing servers before a cut
 constexpr int kUnheardPeriods = 4;    // periods without a try that ended: unheard
 constexpr double kRateOverUse = 2;    // a rate grows only while under this multiple of its class's throughput
 constexpr double kMoved = 0.1;        // a weight or level is sent once it moved by over this part
@@ -395,9 +396,15 @@
     }
     for (double d : demand) capacity += (1 - kAlpha) * d;
     std::vector<double> fair = max_min_shares(capacity, demand);
-    // Exception: one server far slower than the rest is drained by its weight; cutting whole classes for it
-    // would refuse work that the others can do. Cuts wait for queueing that the mean shows too.
-    bool common = mean_of(&State::slowdown) - 1 >= kCommon * (mean_of(&State::threshold) - 1);
+    // Exception: servers far slower than the rest are drained by their weights; cutting whole classes for
+    // them would refuse work that the others can do. Cuts wait until most of the load meets queueing.
+    double queueing = 0, all = 0;
+    for (const auto& [id, ep] : endpoints) {
+      if (!counts(ep)) continue;
+      all += ep.load;
+      if (slowdown(ep) - 1 >= kCommon * (threshold(ep) - 1)) queueing += ep.load;
+    }
+    bool common = queueing >= kMostLoad * all;
     bool overloaded = slowest->slow_periods >= kCutWaitPeriods && common;
     if (overloaded) {
       for (auto& [id, ep] : endpoints) ep.slow_periods = 0;  // the next cut waits for this one's effect
