--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -21,6 +21,8 @@
 constexpr double kSlowdownLeast = 2;  // and at least: below it queueing is ordinary
 constexpr double kSloPart = 0.6;      // T in between: mean latency reaches this part of the tightest SLO
 constexpr double kAlpha = 0.1;        // part of the bottleneck's demand that a cut takes away
+constexpr double kDrainMost = 0.6;    // a cut goes no further below the share than this part of it
+constexpr double kRegain = 0.25;      // growth of a rate below its last share, each step
 constexpr double kBeta = 0.05;        // growth of a rate that isn't cut, each step
 constexpr int kCutWaitPeriods = 3;    // periods above T before the first cut
 constexpr double kCommon = 0.5;       // part of T from which a server counts as queueing
@@ -40,6 +42,7 @@
 constexpr double kErrorShare = 0.3;    // failing this share more than the others, though not slow: broken
 constexpr double kSilentTries = 6;     // tries expected, and next to none heard of: silent
 constexpr double kSilentShare = 0.15;  // heard tries over expected below this are "next to none"
+constexpr double kCommonBad = 0.2;     // the others failing this share: a common cause, no reason to eject
 constexpr double kPanic = 0.4;         // no ejection that leaves less than this part of the listed size
 constexpr Duration kEjectLeast{3000};  // first ejection; doubles with each relapse
 constexpr int kEjectDoublings = 3;
@@ -114,6 +117,7 @@
 
 struct Rate {  // a class's admission rate
   double limit = std::numeric_limits<double>::infinity();
+  double share = 0;  // the max-min share of the last cut, without what the dip below it drains
   bool limited() const { return std::isfinite(limit); }
 };
 
@@ -146,7 +150,7 @@
   std::map<TableKey, Table> tables;
   std::map<TableId, Slice> slices;
   std::vector<Rate> rates;
-  Time now{}, next_period{}, next_step{}, list_retry{}, list_heard{};
+  Time now{}, next_cut{}, next_period{}, next_step{}, list_retry{}, list_heard{};
   bool started = false, list_waiting = false;
   int list_failures = 0;
   std::uint32_t next_table = 0, serial = 0;
@@ -362,11 +366,11 @@
     return std::clamp(1 + kSloPart * tightest.count() / ep.base, kSlowdownLeast, kSlowdownMost);
   }
 
-  double mean_of(double (State::*figure)(const Endpoint&) const) const {
+  double mean_of(double (State::*figure)(const Endpoint&) const, double none = 1) const {
     double sum = 0, weight = 0;
     for (const auto& [id, ep] : endpoints)
       if (counts(ep)) sum += ep.load * (this->*figure)(ep), weight += ep.load;
-    return weight > 0 ? sum / weight : 1;
+    return weight > 0 ? sum / weight : none;
   }
 
   bool ejected(const Endpoint& ep, Locality from) const {
@@ -394,7 +398,8 @@
         if (p.locality == z)
           for (std::size_t c = 0; c < n; ++c) demand[c] += zone_load * admitted(p, c) / local;
     }
-    for (double d : demand) capacity += (1 - kAlpha) * d;
+    // Capacity is what was answered: tries that fail there are demand, not proof of capacity.
+    for (double d : demand) capacity += (1 - kAlpha) * d * (1 - mean_of(&State::fail_share, 0));
     std::vector<double> fair = max_min_shares(capacity, demand);
     // Exception: servers far slower than the rest are drained by their weights; cutting whole classes for
     // them would refuse work that the others can do. Cuts wait until most of the load meets queueing.
@@ -405,20 +410,28 @@
       if (slowdown(ep) - 1 >= kCommon * (threshold(ep) - 1)) queueing += ep.load;
     }
     bool common = queueing >= kMostLoad * all;
-    bool overloaded = slowest->slow_periods >= kCutWaitPeriods && common;
-    if (overloaded) {
-      for (auto& [id, ep] : endpoints) ep.slow_periods = 0;  // the next cut waits for this one's effect
-    }
+    bool overloaded = slowest->slow_periods >= kCutWaitPeriods && common && now >= next_cut;
+    // A cut shows only in tries that start after it, and those end a latency later: the next one waits so
+    // long.
+    if (overloaded)
+      next_cut = now + set.push_delay_most + set.period * kCutWaitPeriods + Duration(slowest->latency);
+    double drain = std::clamp(mean_of(&State::threshold) / mean_of(&State::slowdown), kDrainMost, 1.0);
     for (std::size_t c = 0; c < n; ++c) {
       double used = throughput(c);
       Rate& rate = rates[c];
       if (overloaded && fair[c] < demand[c]) {
-        rate.limit = std::min(rate.limit, used) * fair[c] / demand[c];
-      } else if (rate.limited()) {
-        if (rate.limit < kRateOverUse * used)
+        // Exception: what has jammed must drain, so the rate dips below the share and comes back to it
+        // quickly.
+        double from = rate.limit < rate.share ? rate.share : std::min(rate.limit, used);
+        rate.share = from * fair[c] / demand[c];
+        rate.limit = rate.share * drain;
+      } else if (rate.limited() && !common) {
+        if (rate.limit < rate.share)
+          rate.limit = std::min(rate.share, rate.limit * (1 + kRegain));
+        else if (rate.limit < kRateOverUse * used)
           rate.limit *= 1 + kBeta;
         else
-          rate.limit = std::numeric_limits<double>::infinity();  // binds nobody any more
+          rate = Rate{};  // binds nobody any more
       }
     }
   }
@@ -459,7 +472,8 @@
         double others = all_tries - path.tries();
         double others_bad = others > 0 ? (all_bad - path.bad) / others : 0;
         double share = path.tries() > 0 ? path.bad / path.tries() : 0;
-        bool dead = path.bad >= kFailsLeast && share >= kDeadShare && others_bad < 0.5;
+        if (others_bad > kCommonBad) continue;  // what fails everywhere has a common cause
+        bool dead = path.bad >= kFailsLeast && share >= kDeadShare;
         bool errors = path.bad >= kFailsLeast + 1 && share > others_bad + kErrorShare &&
                       ep.latency < ep.base * threshold(ep);
         bool silent = path.expected >= kSilentTries && path.tries() < kSilentShare * path.expected;
@@ -747,6 +761,7 @@
     started = true;
     list_heard = now;
     next_period = now + set.period;
+    next_cut = now;
     next_step = now + kStep;
     if (set.list_on_request) out.push_back(WatchList{true});
     out.push_back(SetTimer{next_period, kTickToken});
