--- a/adapter/settings.cpp
+++ b/adapter/settings.cpp
@@ -121,6 +121,7 @@
   }
   s.list_on_request = p.choice<bool>("discovery", {{"on_request", true}, {"pushed", false}});
   s.may_probe = p.flag_or("limits.may_probe", false);
+  s.reports_by_probe = p.has("report.how") && p.text("report.how") == "probe";
   s.slices = static_cast<int>(p.count("family_info.key_ranges", kMostSlices));
   s.single_writer = p.flag_or("family_info.single_writer", false);
   s.level_kind = p.choice<LevelKind>(
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -19,21 +19,24 @@
 constexpr double kBaseTries = 20;     // answered tries before a baseline is taken
 constexpr double kSlowdownMost = 10;  // T: slowdown above which a server counts as the bottleneck, at most
 constexpr double kSlowdownLeast = 2;  // and at least: below it queueing is ordinary
-constexpr double kSloPart = 0.35;     // T in between: mean latency reaches this part of the tightest SLO
+constexpr double kSloPart = 0.5;      // T in between: mean latency reaches this part of the tightest SLO
 constexpr double kAlpha = 0.1;        // part of the bottleneck's demand that a cut takes away
 constexpr double kDrainMost = 0.85;   // a cut goes no further below the share than this part of it
 constexpr double kRegain = 0.25;      // growth of a rate below its last share, each step
 constexpr double kBeta = 0.05;        // growth of a rate that isn't cut, each step
 constexpr int kCutWaitPeriods = 3;    // periods above T before the first cut
-constexpr double kCommon = 0.5;       // part of T from which a server counts as queueing
+constexpr double kCommon = 0.8;       // part of T from which a server counts as queueing
 constexpr double kMostLoad = 0.5;     // part of the load that must meet queueing servers before a cut
 constexpr int kUnheardPeriods = 4;    // periods without a try that ended: unheard
 constexpr double kRateOverUse = 2;    // a rate grows only while under this multiple of its class's throughput
 constexpr double kMoved = 0.1;        // a weight or level is sent once it moved by over this part
 constexpr double kBandRatio = 4;      // proxies within one band differ by at most this in usual rate
 constexpr double kOpenRate = 1e6;     // requests/s: a level that binds nobody
-constexpr double kDeadBand = 0.25;    // slowdowns this near to the mean leave a weight alone
-constexpr double kWeightGain = 0.3;   // exponent of the weight step
+constexpr double kBusyLeast = 0.1;    // utilization from which it tells a speed
+constexpr double kSpeedSmoothing = 0.15;               // weight of a step's speed sample: noisy and late
+constexpr double kSpeedLeast = 0.1, kSpeedMost = 4;    // bounds of what reports may make of a size
+constexpr double kDeadBand = 0.25;                     // slowdowns this near to the mean leave a weight alone
+constexpr double kWeightGain = 0.3;                    // exponent of the weight step
 constexpr double kWeightLeast = 0.2, kWeightMost = 2;  // bounds of what the weight step may make of a size
 constexpr double kSpillSlack = 0.1;    // a locality keeps its load up to this part over the fleet's mean
 constexpr double kFailKeep = 0.7;      // what a period leaves of the counts of good and failed tries
@@ -77,8 +80,11 @@
   ListedEndpoint listed;
   double latency = 0, steady = 0, base = 0;  // smoothed, smoothed longer, and the lowest of that (ms)
   double new_latency_sum = 0, new_latency_count = 0, samples = 0;
-  double load = 0, new_tries = 0;  // tries a second, smoothed
-  double nudge = 1;                // what the weight step makes of the listed size
+  double load = 0, new_tries = 0;   // tries a second, smoothed
+  double served = 0, new_good = 0;  // good tries a second, smoothed
+  double busy = -1;                 // utilization by the newest load report, smoothed; below 0: none yet
+  double speed = 1;                 // what load reports make of the listed size: work done by a busy core
+  double nudge = 1;                 // what the weight step makes of the listed size
   int probes_good = 0;
   int slow_periods = 0, silent_periods = 0;
   std::map<Locality, Path> paths;
@@ -180,7 +186,8 @@
       if (fresh) {  // a restart: what was known of its health and speed is void
         ep.paths.clear();
         ep.latency = ep.samples = 0;
-        ep.nudge = 1;
+        ep.nudge = ep.speed = 1;
+        ep.busy = -1;
       }
     }
     if (e.kind == ListKind::incremental) return;
@@ -255,12 +262,37 @@
     path.new_good += good;
     path.new_bad += e.failed;
     ep.new_tries += e.tries;
+    ep.new_good += good;
+    note_load(ep, e.load);
     if (good > 0 && e.latency.count() > 0) {
       ep.new_latency_sum += good * e.latency.count();
       ep.new_latency_count += good;
     }
   }
 
+  void note_load(Endpoint& ep, const LoadReport& load) {
+    auto u = load.find("utilization");
+    if (u == load.end()) return;
+    smooth(ep.busy, std::clamp(u->second, 0.0, 1.0), kSmoothing, ep.busy < 0);
+  }
+
+  // Listed sizes are rough. Where load reports tell how busy an endpoint is, good tries over busy time is its
+  // speed; the fleet's mean keeps the unit. Not while cold: that speed will not last.
+  void learn_speeds() {
+    double speed = 0, size = 0;
+    auto known = [&](const Endpoint& ep) {
+      return counts(ep) && ep.busy >= kBusyLeast && ep.served > 0 && ramp(ep, nullptr) >= 1;
+    };
+    for (auto& [id, ep] : endpoints)
+      if (known(ep)) speed += ep.served / ep.busy, size += ep.listed.size;
+    if (speed <= 0 || size <= 0) return;
+    for (auto& [id, ep] : endpoints)
+      if (known(ep))
+        smooth(ep.speed,
+               std::clamp(ep.served / ep.busy / ep.listed.size * size / speed, kSpeedLeast, kSpeedMost),
+               kSpeedSmoothing, false);
+  }
+
   void on(const ProxyUsage& e) {
     auto found = proxies.find(e.proxy);
     if (found == proxies.end() || e.span.count() <= 0) return;
@@ -310,6 +342,7 @@
         if (ep.samples >= kBaseTries) ep.base = ep.base > 0 ? std::min(ep.base, ep.steady) : ep.steady;
       }
       smooth(ep.load, ep.new_tries / (set.period.count() / 1000), kSmoothing, false);
+      smooth(ep.served, ep.new_good / (set.period.count() / 1000), kSmoothing, false);
       for (auto& [z, path] : ep.paths) {
         path.good = path.good * kFailKeep + path.new_good;
         path.bad = path.bad * kFailKeep + path.new_bad;
@@ -319,7 +352,7 @@
         path.expected = path.expected * kFailKeep + (counts ? share * heard[z] : 0);
         path.new_good = path.new_bad = 0;
       }
-      ep.new_latency_sum = ep.new_latency_count = ep.new_tries = 0;
+      ep.new_latency_sum = ep.new_latency_count = ep.new_tries = ep.new_good = 0;
       ep.slow_periods = slowdown(ep) > threshold(ep) ? ep.slow_periods + 1 : 0;
     }
   }
@@ -425,7 +458,7 @@
         double from = rate.limit < rate.share ? rate.share : std::min(rate.limit, used);
         rate.share = from * fair[c] / demand[c];
         rate.limit = rate.share * drain;
-      } else if (rate.limited() && !common) {
+      } else if (rate.limited() && !(common && slowest->slow_periods > 0)) {
         if (rate.limit < rate.share)
           rate.limit = std::min(rate.share, rate.limit * (1 + kRegain));
         else if (rate.limit < kRateOverUse * used)
@@ -492,10 +525,12 @@
     }
   }
 
-  void probe_ejected() {
+  // Once a step each open endpoint is probed where probes are allowed and load reports come by no other way;
+  // else only the ejected, on their way back.
+  void send_probes() {
     if (!set.may_probe) return;
     for (auto& [id, ep] : endpoints) {
-      bool any = false;
+      bool any = set.reports_by_probe;
       for (auto& [z, path] : ep.paths) any |= path.ejected;
       if (ep.open() && any) out.push_back(Probe{id});
     }
@@ -504,6 +539,7 @@
   void on(const ProbeResult& e) {
     auto found = endpoints.find(e.endpoint);
     if (found == endpoints.end()) return;
+    note_load(found->second, e.load);
     found->second.probes_good = e.outcome == Outcome::delivered ? found->second.probes_good + 1 : 0;
   }
 
@@ -525,7 +561,7 @@
     if (!ep.open() || ejected(ep, from)) return 0;
     auto p = ep.paths.find(from);
     double r = ramp(ep, p == ep.paths.end() ? nullptr : &p->second);
-    return ep.listed.size * r * (r < 1 ? std::min(1.0, ep.nudge) : ep.nudge);
+    return ep.listed.size * ep.speed * r * (r < 1 ? std::min(1.0, ep.nudge) : ep.nudge);
   }
 
   // ---- Tables ----
@@ -778,8 +814,9 @@
       judge_health();
       if (now >= next_step) {
         bfair_step();
+        learn_speeds();
         weight_step();
-        probe_ejected();
+        send_probes();
         next_step = std::max(next_step + kStep, now);
       }
       next_period = std::max(next_period + set.period, now);
--- a/src/brain.h
+++ b/src/brain.h
@@ -57,6 +57,7 @@
   int pushes_allowed = 0;  // messages to one proxy within pushes_span; 0: no limit
   Duration pushes_span{}, push_delay{}, push_delay_most{};
   // Reports and guarantees.
+  bool reports_by_probe = false;  // load reports come in probe results only
   Duration period{}, must_ask_in{}, empty_for{}, lease{}, settle{};
   Duration drain_grace{}, warm_up{}, fall{};
   double start_capacity = 1, tip_multiple = 1;
