--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -25,13 +25,14 @@
 constexpr double kRegain = 0.25;      // growth of a rate below its last share, each step
 constexpr double kBeta = 0.05;        // growth of a rate that isn't cut, each step
 constexpr int kCutWaitPeriods = 3;    // periods above T before the first cut
-constexpr double kCommon = 0.8;       // part of T from which a server counts as queueing
+constexpr double kCommon = 0.5;       // part of T from which a server counts as queueing
 constexpr double kMostLoad = 0.5;     // part of the load that must meet queueing servers before a cut
 constexpr int kUnheardPeriods = 4;    // periods without a try that ended: unheard
 constexpr double kRateOverUse = 2;    // a rate grows only while under this multiple of its class's throughput
 constexpr double kMoved = 0.1;        // a weight or level is sent once it moved by over this part
 constexpr double kBandRatio = 4;      // proxies within one band differ by at most this in usual rate
 constexpr double kOpenRate = 1e6;     // requests/s: a level that binds nobody
+constexpr double kBusyFull = 0.85;    // utilization from which an endpoint has no core to spare
 constexpr double kBusyLeast = 0.1;    // utilization from which it tells a speed
 constexpr double kSpeedSmoothing = 0.15;               // weight of a step's speed sample: noisy and late
 constexpr double kSpeedLeast = 0.1, kSpeedMost = 4;    // bounds of what reports may make of a size
@@ -406,6 +407,12 @@
     return weight > 0 ? sum / weight : none;
   }
 
+  // Near T by latency and, where reports tell, busy: latency alone is noise at an endpoint with cores to
+  // spare.
+  bool queues(const Endpoint& ep) const {
+    return slowdown(ep) - 1 >= kCommon * (threshold(ep) - 1) && (ep.busy < 0 || ep.busy >= kBusyFull);
+  }
+
   bool ejected(const Endpoint& ep, Locality from) const {
     auto own = ep.paths.find(ep.listed.locality), path = ep.paths.find(from);
     return (own != ep.paths.end() && own->second.ejected) || (path != ep.paths.end() && path->second.ejected);
@@ -440,7 +447,7 @@
     for (const auto& [id, ep] : endpoints) {
       if (!counts(ep)) continue;
       all += ep.load;
-      if (slowdown(ep) - 1 >= kCommon * (threshold(ep) - 1)) queueing += ep.load;
+      if (queues(ep)) queueing += ep.load;
     }
     bool common = queueing >= kMostLoad * all;
     bool overloaded = slowest->slow_periods >= kCutWaitPeriods && common && now >= next_cut;
