--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,6 +38,7 @@
 constexpr double kSpeedLeast = 0.1, kSpeedMost = 4;    // bounds of what reports may make of a size
 constexpr double kDeadBand = 0.25;                     // slowdowns this near to the mean leave a weight alone
 constexpr double kWeightGain = 0.3;                    // exponent of the weight step
+constexpr double kNudgeKeep = 0.8;                     // what a step leaves of the nudge's exponent
 constexpr double kWeightLeast = 0.2, kWeightMost = 2;  // bounds of what the weight step may make of a size
 constexpr double kSpillSlack = 0.1;    // a locality keeps its load up to this part over the fleet's mean
 constexpr double kFailKeep = 0.7;      // what a period leaves of the counts of good and failed tries
@@ -480,10 +481,12 @@
   void weight_step() {
     double mean = mean_of(&State::slowdown);
     for (auto& [id, ep] : endpoints) {
-      if (!counts(ep)) continue;
-      double off = slowdown(ep) / mean;
-      if (off < 1 + kDeadBand && off > 1 / (1 + kDeadBand)) continue;
-      ep.nudge = std::clamp(ep.nudge * std::pow(off, -kWeightGain), kWeightLeast, kWeightMost);
+      double off = counts(ep) ? slowdown(ep) / mean : 1;
+      if (off < 1 + kDeadBand && off > 1 / (1 + kDeadBand)) off = 1;
+      // The nudge fades: a baseline that chance set low makes an endpoint look slow for good, and a step that
+      // only adds up would drain it.
+      ep.nudge =
+          std::clamp(std::pow(ep.nudge, kNudgeKeep) * std::pow(off, -kWeightGain), kWeightLeast, kWeightMost);
     }
   }
 
