--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -41,6 +41,7 @@
 constexpr double kNudgeKeep = 0.8;                     // what a step leaves of the nudge's exponent
 constexpr double kWeightLeast = 0.2, kWeightMost = 2;  // bounds of what the weight step may make of a size
 constexpr double kSpillSlack = 0.1;    // a locality keeps its load up to this part over the fleet's mean
+constexpr double kLoadedSlowdown = 2;  // mean slowdown above which no try is repeated without proof
 constexpr double kFailKeep = 0.7;      // what a period leaves of the counts of good and failed tries
 constexpr double kFailsLeast = 3;      // failed tries that are evidence at all
 constexpr double kDeadShare = 0.9;     // failing at least this share: dead or hung, however slow
@@ -620,7 +621,10 @@
   // ---- Retry modes ----
   RetryMode retry_mode(std::size_t c) const {
     const RequestClass& rc = set.classes[c];
-    bool loaded = mean_of(&State::slowdown) > 2;
+    // What fails everywhere finds no better endpoint: a second try would only be one more knock at full
+    // doors.
+    if (mean_of(&State::fail_share, 0) > kCommonBad) return RetryMode::never;
+    bool loaded = mean_of(&State::slowdown) > kLoadedSlowdown;
     for (const Rate& r : rates) loaded |= r.limited();
     bool repeat_is_safe = rc.semantics == Semantics::retryable ||
                           (rc.semantics == Semantics::dedup && rc.scope == DedupScope::all &&
