--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -22,18 +22,19 @@
 constexpr double kSloPart = 0.5;      // T in between: mean latency reaches this part of the tightest SLO
 constexpr double kAlpha = 0.1;        // part of the bottleneck's demand that a cut takes away
 constexpr double kDrainMost = 0.85;   // a cut goes no further below the share than this part of it
-constexpr double kRegain = 0.25;      // growth of a rate below its last share, each step
-constexpr double kBeta = 0.05;        // growth of a rate that isn't cut, each step
-constexpr int kCutWaitPeriods = 3;    // periods above T before the first cut
-constexpr double kCommon = 0.5;       // part of T from which a server counts as queueing
-constexpr double kMostLoad = 0.5;     // part of the load that must meet queueing servers before a cut
-constexpr int kUnheardPeriods = 4;    // periods without a try that ended: unheard
-constexpr double kRateOverUse = 2;    // a rate grows only while under this multiple of its class's throughput
-constexpr double kMoved = 0.1;        // a weight or level is sent once it moved by over this part
-constexpr double kBandRatio = 4;      // proxies within one band differ by at most this in usual rate
-constexpr double kOpenRate = 1e6;     // requests/s: a level that binds nobody
-constexpr double kBusyFull = 0.85;    // utilization from which an endpoint has no core to spare
-constexpr double kBusyLeast = 0.1;    // utilization from which it tells a speed
+constexpr double kAnsweredLeast = 0.5;  // a cut trusts no smaller answered part: what fails fast fails often
+constexpr double kRegain = 0.25;        // growth of a rate below its last share, each step
+constexpr double kBeta = 0.05;          // growth of a rate that isn't cut, each step
+constexpr int kCutWaitPeriods = 3;      // periods above T before the first cut
+constexpr double kCommon = 0.5;         // part of T from which a server counts as queueing
+constexpr double kMostLoad = 0.5;       // part of the load that must meet queueing servers before a cut
+constexpr int kUnheardPeriods = 4;      // periods without a try that ended: unheard
+constexpr double kRateOverUse = 2;  // a rate grows only while under this multiple of its class's throughput
+constexpr double kMoved = 0.1;      // a weight or level is sent once it moved by over this part
+constexpr double kBandRatio = 4;    // proxies within one band differ by at most this in usual rate
+constexpr double kOpenRate = 1e6;   // requests/s: a level that binds nobody
+constexpr double kBusyFull = 0.85;  // utilization from which an endpoint has no core to spare
+constexpr double kBusyLeast = 0.1;  // utilization from which it tells a speed
 constexpr double kSpeedSmoothing = 0.15;               // weight of a step's speed sample: noisy and late
 constexpr double kSpeedLeast = 0.1, kSpeedMost = 4;    // bounds of what reports may make of a size
 constexpr double kDeadBand = 0.25;                     // slowdowns this near to the mean leave a weight alone
@@ -441,7 +442,8 @@
           for (std::size_t c = 0; c < n; ++c) demand[c] += zone_load * admitted(p, c) / local;
     }
     // Capacity is what was answered: tries that fail there are demand, not proof of capacity.
-    for (double d : demand) capacity += (1 - kAlpha) * d * (1 - mean_of(&State::fail_share, 0));
+    double answered = std::max(kAnsweredLeast, 1 - mean_of(&State::fail_share, 0));
+    for (double d : demand) capacity += (1 - kAlpha) * d * answered;
     std::vector<double> fair = max_min_shares(capacity, demand);
     // Exception: servers far slower than the rest are drained by their weights; cutting whole classes for
     // them would refuse work that the others can do. Cuts wait until most of the load meets queueing.
@@ -624,6 +626,8 @@
     // What fails everywhere finds no better endpoint: a second try would only be one more knock at full
     // doors.
     if (mean_of(&State::fail_share, 0) > kCommonBad) return RetryMode::never;
+    // Just (re)started, into whatever jam there is: no more than is usual, and nothing without proof.
+    if (mean_of(&State::slowdown, 0) == 0) return std::min(set.default_retry, RetryMode::after_proof);
     bool loaded = mean_of(&State::slowdown) > kLoadedSlowdown;
     for (const Rate& r : rates) loaded |= r.limited();
     bool repeat_is_safe = rc.semantics == Semantics::retryable ||
@@ -634,6 +638,24 @@
 
   // ---- Levels: the throughput split over bands ----
   double wanted_level(const TableKey& key, std::size_t c) const {
+    return std::min(shared_level(key, c), cold_level(key));
+  }
+
+  // Rule 4 where weights can't help: while all that a table may use is cold (a home-only class, its locality
+  // back from a loss), its proxies let in no more than their usual rate times the guaranteed part of the
+  // capacity.
+  double cold_level(const TableKey& key) const {
+    double warmest = 0, usual = 0, count = 0;
+    for (const auto& [id, ep] : endpoints)
+      if (ep.open() && (!key.home || ep.listed.locality == key.locality))
+        warmest = std::max(warmest, ramp(ep, {}));
+    if (set.level_kind != LevelKind::rate || warmest >= 1 || warmest <= 0) return kOpenRate;
+    for (const auto& [id, p] : proxies)
+      if (p.locality == key.locality && p.band == key.band) usual += p.usual, ++count;
+    return count > 0 ? usual / count * warmest : kOpenRate;
+  }
+
+  double shared_level(const TableKey& key, std::size_t c) const {
     if (set.level_kind == LevelKind::none || !rates[c].limited())
       return set.level_kind == LevelKind::rate ? kOpenRate : 1;
     double all = 0, band = 0;
