--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -15,13 +15,15 @@
 constexpr Duration kStep{1000};     // BFAIR and weight step, from the paper: once a second
 constexpr double kSmoothing = 0.3;  // weight of the newest sample in every smoothed estimate
 constexpr double kBaseSmoothing =
-    0.1;                              // the same for the baseline: the lowest of a short mean would be noise
-constexpr double kBaseTries = 20;     // answered tries before a baseline is taken
-constexpr double kSlowdownMost = 10;  // T: slowdown above which a server counts as the bottleneck, at most
-constexpr double kSlowdownLeast = 2;  // and at least: below it queueing is ordinary
-constexpr double kSloPart = 0.5;      // T in between: mean latency reaches this part of the tightest SLO
-constexpr double kAlpha = 0.1;        // part of the bottleneck's demand that a cut takes away
-constexpr double kDrainMost = 0.85;   // a cut goes no further below the share than this part of it
+    0.1;                           // the same for the baseline: the lowest of a short mean would be noise
+constexpr double kBaseTries = 20;  // answered tries before a baseline is taken
+constexpr double kBaseMost =
+    0.5;  // part of the tightest SLO that a baseline can't exceed: it was taken in a jam
+constexpr double kSlowdownMost = 10;    // T: slowdown above which a server counts as the bottleneck, at most
+constexpr double kSlowdownLeast = 2;    // and at least: below it queueing is ordinary
+constexpr double kSloPart = 0.5;        // T in between: mean latency reaches this part of the tightest SLO
+constexpr double kAlpha = 0.1;          // part of the bottleneck's demand that a cut takes away
+constexpr double kDrainMost = 0.85;     // a cut goes no further below the share than this part of it
 constexpr double kAnsweredLeast = 0.5;  // a cut trusts no smaller answered part: what fails fast fails often
 constexpr double kRegain = 0.25;        // growth of a rate below its last share, each step
 constexpr double kBeta = 0.05;          // growth of a rate that isn't cut, each step
@@ -343,7 +345,8 @@
         smooth(ep.latency, sample, kSmoothing, ep.samples == 0);
         smooth(ep.steady, sample, kBaseSmoothing, ep.samples == 0);
         ep.samples += ep.new_latency_count;
-        if (ep.samples >= kBaseTries) ep.base = ep.base > 0 ? std::min(ep.base, ep.steady) : ep.steady;
+        if (ep.samples >= kBaseTries)
+          ep.base = std::min(ep.base > 0 ? ep.base : kBaseMost * tightest_slo(), ep.steady);
       }
       smooth(ep.load, ep.new_tries / (set.period.count() / 1000), kSmoothing, false);
       smooth(ep.served, ep.new_good / (set.period.count() / 1000), kSmoothing, false);
@@ -398,9 +401,13 @@
 
   double threshold(const Endpoint& ep) const {
     if (ep.base <= 0) return kSlowdownMost;
+    return std::clamp(1 + kSloPart * tightest_slo() / ep.base, kSlowdownLeast, kSlowdownMost);
+  }
+
+  double tightest_slo() const {
     Duration tightest = set.classes.front().slo;
     for (const RequestClass& c : set.classes) tightest = std::min(tightest, c.slo);
-    return std::clamp(1 + kSloPart * tightest.count() / ep.base, kSlowdownLeast, kSlowdownMost);
+    return tightest.count();
   }
 
   double mean_of(double (State::*figure)(const Endpoint&) const, double none = 1) const {
@@ -574,7 +581,8 @@
     if (!ep.open() || ejected(ep, from)) return 0;
     auto p = ep.paths.find(from);
     double r = ramp(ep, p == ep.paths.end() ? nullptr : &p->second);
-    return ep.listed.size * ep.speed * r * (r < 1 ? std::min(1.0, ep.nudge) : ep.nudge);
+    return ep.listed.size * ep.speed * r *
+           (r < 1 ? std::min(1.0, ep.nudge) * (1 - mean_of(&State::fail_share, 0)) : ep.nudge);
   }
 
   // ---- Tables ----
