--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -581,8 +581,12 @@
     if (!ep.open() || ejected(ep, from)) return 0;
     auto p = ep.paths.find(from);
     double r = ramp(ep, p == ep.paths.end() ? nullptr : &p->second);
-    return ep.listed.size * ep.speed * r *
-           (r < 1 ? std::min(1.0, ep.nudge) * (1 - mean_of(&State::fail_share, 0)) : ep.nudge);
+    if (r >= 1) return ep.listed.size * ep.speed * ep.nudge;
+    // Rule 4 in a jam: the fleet's overload, repeats and all, would come to a cold endpoint as well. It waits
+    // until the others no longer fail, or nothing else is left; a controller just started knows of no calm
+    // yet.
+    if (mean_of(&State::fail_share, 1) > kCommonBad) return 0;
+    return ep.listed.size * ep.speed * r * std::min(1.0, ep.nudge);
   }
 
   // ---- Tables ----
@@ -646,7 +650,7 @@
 
   // ---- Levels: the throughput split over bands ----
   double wanted_level(const TableKey& key, std::size_t c) const {
-    return std::min(shared_level(key, c), cold_level(key));
+    return std::min(shared_level(key, c), cold_level(key) / static_cast<double>(set.classes.size()));
   }
 
   // Rule 4 where weights can't help: while all that a table may use is cold (a home-only class, its locality
