--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -163,14 +163,10 @@
   e.locality = locality(names, f.text("site"));
   f.text("shape");
   std::string_view state = f.text("state");
-  if (state == "in_service")
-    e.state = EndpointState::in_service;
-  else if (state == "terminating")
-    e.state = EndpointState::terminating;
-  else if (state == "terminated")
-    e.state = EndpointState::terminated;
-  else
-    fail("state", "is unknown", state);
+  if (state == "in_service") e.state = EndpointState::in_service;
+  else if (state == "terminating") e.state = EndpointState::terminating;
+  else if (state == "terminated") e.state = EndpointState::terminated;
+  else fail("state", "is unknown", state);
   e.size = f.absent("size") ? 1 : f.amount("size");
   e.cell = f.absent("bay") ? 0 : static_cast<std::uint32_t>(f.whole("bay", kMostTask));
   e.id = task(f);
@@ -306,10 +302,8 @@
   void operator()(const Probe& a) { line("CHECK", a.endpoint); }
   void operator()(const SendPeer& a) {
     line("SIGNAL");
-    if (a.everyone)
-      out += " *";
-    else
-      put(out, std::uint64_t{a.peer});
+    if (a.everyone) out += " *";
+    else put(out, std::uint64_t{a.peer});
     put_bytes(out, a.payload);
   }
   void operator()(const SetLine& a) { line("ENDPOINT", a.table, a.endpoint, a.weight); }
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,5 +1,5 @@
-// All decisions of beamshunt. Interface (settings, events, actions): src/brain.h. Why each part is as it is,
-// and when each exception to the BFAIR policy acts: docs/design.md.
+// All decisions of beamshunt. The interface (settings, events, actions) is src/brain.h; why each part is as
+// it is, and when each exception to the BFAIR policy acts: docs/design.md.
 #include "brain.h"
 
 #include <algorithm>
@@ -12,72 +12,69 @@
 namespace {
 
 // ---- Constants: unit, reason ----
-constexpr Duration kStep{1000};     // BFAIR and weight step, from the paper: once a second
-constexpr double kSmoothing = 0.3;  // weight of the newest sample in every smoothed estimate
-constexpr double kBaseSmoothing =
-    0.1;                           // the same for the baseline: the lowest of a short mean would be noise
-constexpr double kBaseTries = 20;  // answered tries before a baseline is taken
-constexpr double kBaseMost =
-    0.5;  // part of the tightest SLO that a baseline can't exceed: it was taken in a jam
-constexpr double kSlowdownMost = 10;    // T: slowdown above which a server counts as the bottleneck, at most
-constexpr double kSlowdownLeast = 2;    // and at least: below it queueing is ordinary
-constexpr double kSloPart = 0.5;        // T in between: mean latency reaches this part of the tightest SLO
-constexpr double kAlpha = 0.1;          // part of the bottleneck's demand that a cut takes away
-constexpr double kDrainMost = 0.85;     // a cut goes no further below the share than this part of it
+// BFAIR step.
+constexpr Duration kStep{1000};             // BFAIR and weight step: once a second, as in the paper
+constexpr double kSmoothing = 0.3;          // weight of a period's sample in smoothed estimates
+constexpr double kBaseSmoothing = 0.1;      // the same for the baseline: the lowest of a short mean is noise
+constexpr double kBaseTries = 20;           // answered tries before a baseline is taken
+constexpr double kBaseMost = 0.5;           // of the tightest SLO: a higher baseline was taken in a jam
+constexpr double kTLeast = 2, kTMost = 10;  // bounds of T, the slowdown that makes a bottleneck
+constexpr double kTSloPart = 0.5;           // T: queueing takes this part of the tightest SLO
+constexpr double kAlpha = 0.1;              // part of the bottleneck's demand that a cut takes away
+constexpr double kBeta = 0.05;              // growth of a rate that isn't cut, each step
+constexpr double kRateOverUse = 2;          // a rate grows only while under this multiple of its throughput
+constexpr int kCutWait = 3;                 // periods above T before a cut
+constexpr int kUnheard = 4;                 // periods without a try that ended: the endpoint has no say
+constexpr double kQueueing = 0.5;           // of T's queueing: from here an endpoint counts as queueing
+constexpr double kMostLoad = 0.5;           // part of the load that must meet queueing endpoints before a cut
 constexpr double kAnsweredLeast = 0.5;  // a cut trusts no smaller answered part: what fails fast fails often
+constexpr double kDrainMost = 0.85;     // a cut dips to this part of the share at most, to drain a jam
 constexpr double kRegain = 0.25;        // growth of a rate below its last share, each step
-constexpr double kBeta = 0.05;          // growth of a rate that isn't cut, each step
-constexpr int kCutWaitPeriods = 3;      // periods above T before the first cut
-constexpr double kCommon = 0.5;         // part of T from which a server counts as queueing
-constexpr double kMostLoad = 0.5;       // part of the load that must meet queueing servers before a cut
-constexpr int kUnheardPeriods = 4;      // periods without a try that ended: unheard
-constexpr double kRateOverUse = 2;  // a rate grows only while under this multiple of its class's throughput
-constexpr double kMoved = 0.1;      // a weight or level is sent once it moved by over this part
-constexpr double kBandRatio = 4;    // proxies within one band differ by at most this in usual rate
-constexpr double kOpenRate = 1e6;   // requests/s: a level that binds nobody
-constexpr double kBusyFull = 0.85;  // utilization from which an endpoint has no core to spare
-constexpr double kBusyLeast = 0.1;  // utilization from which it tells a speed
-constexpr double kSpeedSmoothing = 0.15;               // weight of a step's speed sample: noisy and late
-constexpr double kSpeedLeast = 0.1, kSpeedMost = 4;    // bounds of what reports may make of a size
-constexpr double kDeadBand = 0.25;                     // slowdowns this near to the mean leave a weight alone
-constexpr double kWeightGain = 0.3;                    // exponent of the weight step
-constexpr double kNudgeKeep = 0.8;                     // what a step leaves of the nudge's exponent
-constexpr double kWeightLeast = 0.2, kWeightMost = 2;  // bounds of what the weight step may make of a size
-constexpr double kSpillSlack = 0.1;    // a locality keeps its load up to this part over the fleet's mean
-constexpr double kLoadedSlowdown = 2;  // mean slowdown above which no try is repeated without proof
+// Weights.
+constexpr double kBusyFull = 0.85;        // utilization from which an endpoint has no core to spare
+constexpr double kBusyLeast = 0.1;        // utilization from which it tells a speed
+constexpr double kSpeedSmoothing = 0.15;  // weight of a step's speed sample: noisy and late
+constexpr double kSpeedLeast = 0.1, kSpeedMost = 4;  // bounds of what reports make of a listed size
+constexpr double kDeadBand = 0.25;                   // slowdowns this near to the mean leave a weight alone
+constexpr double kWeightGain = 0.3;                  // exponent of the weight step
+constexpr double kNudgeKeep = 0.8;                   // what a step leaves of the nudge's exponent
+constexpr double kNudgeLeast = 0.2, kNudgeMost = 2;  // bounds of the nudge
+constexpr double kSpillSlack = 0.1;  // a locality keeps its load up to this part over the fleet's mean
+// Health and retries.
 constexpr double kFailKeep = 0.7;      // what a period leaves of the counts of good and failed tries
 constexpr double kFailsLeast = 3;      // failed tries that are evidence at all
 constexpr double kDeadShare = 0.9;     // failing at least this share: dead or hung, however slow
 constexpr double kErrorShare = 0.3;    // failing this share more than the others, though not slow: broken
-constexpr double kSilentTries = 6;     // tries expected, and next to none heard of: silent
-constexpr double kSilentShare = 0.15;  // heard tries over expected below this are "next to none"
-constexpr double kCommonBad = 0.2;     // the others failing this share: a common cause, no reason to eject
+constexpr double kCommonBad = 0.2;     // the others failing this share: a common cause, none is to blame
 constexpr double kPanic = 0.4;         // no ejection that leaves less than this part of the listed size
-constexpr Duration kEjectLeast{3000};  // first ejection; doubles with each relapse
+constexpr Duration kEjectLeast{3000};  // first ejection, doubling with each relapse
 constexpr int kEjectDoublings = 3;
-constexpr int kProbesGood = 2;      // answered probes in a row before an ejected endpoint comes back
-constexpr double kQueuePart = 0.4;  // part of the channel's queue that ordinary orders may fill
-constexpr double kPushPart = 0.6;   // part of the messages allowed that ordinary orders may use
-constexpr std::uint64_t kTickToken = 1;
+constexpr int kProbesGood = 2;         // answered probes in a row before an ejected endpoint comes back
+constexpr double kLoadedSlowdown = 2;  // mean slowdown above which nothing is repeated without proof
+// Orders.
+constexpr double kMoved = 0.1;      // a weight or level is sent once it moved by over this part
+constexpr double kBandRatio = 4;    // usual rates within one band differ by at most this
+constexpr double kOpenRate = 1e6;   // requests/s: a level that binds nobody
+constexpr double kQueuePart = 0.4;  // of the channel's queue: what ordinary orders may fill
+constexpr double kPushPart = 0.6;   // of the messages allowed: what ordinary orders may use
+constexpr double kAskPart = 0.8;    // of must_ask_in: a quiet subscription is renewed then
 constexpr std::uint32_t kSerials = 65536;
 
 template <typename Id>
 std::size_t at(Id id) {
   return static_cast<std::size_t>(id);
 }
-void smooth(double& value, double sample, double weight, bool first) {
+void smooth(double& value, double sample, double weight, bool first = false) {
   value = first ? sample : value + weight * (sample - value);
 }
 
-// What one locality's proxies met at one endpoint. Health is kept by path: a cut between localities looks
-// like dead servers to one side only, and a dead server fails for its own locality too.
+// What one locality's proxies met at one endpoint. Health is kept by path: a cut between localities shows
+// dead endpoints to one side only; a dead endpoint fails for its own locality too.
 struct Path {
-  double good = 0, bad = 0, expected = 0;  // tries, fading by kFailKeep each period
-  double new_good = 0, new_bad = 0;        // since the last period
-  Time placed{};                           // line sent first, or again: silence counts from then on
-  bool in_table = false, ejected = false;
+  double good = 0, bad = 0;          // tries, fading by kFailKeep each period
+  double new_good = 0, new_bad = 0;  // since the last period
+  bool ejected = false, eases_in = false;
   Time until{}, returned{};
-  bool relapse_watch = false;  // came back from an ejection: eases in
   int ejections = 0;
   double tries() const { return good + bad; }
 };
@@ -85,36 +82,31 @@
 struct Endpoint {
   ListedEndpoint listed;
   double latency = 0, steady = 0, base = 0;  // smoothed, smoothed longer, and the lowest of that (ms)
-  double new_latency_sum = 0, new_latency_count = 0, samples = 0;
-  double load = 0, new_tries = 0;   // tries a second, smoothed
-  double served = 0, new_good = 0;  // good tries a second, smoothed
-  double busy = -1;                 // utilization by the newest load report, smoothed; below 0: none yet
-  double speed = 1;                 // what load reports make of the listed size: work done by a busy core
-  double nudge = 1;                 // what the weight step makes of the listed size
-  int probes_good = 0;
-  int slow_periods = 0, silent_periods = 0;
+  double answered = 0;                       // tries that a latency is known of
+  double latency_sum = 0, latency_count = 0;
+  double load = 0, served = 0;  // tries and good tries a second, smoothed
+  double busy = -1;             // utilization by load reports, smoothed; below 0: none yet
+  double speed = 1, nudge = 1;  // what load reports and the weight step make of the listed size
+  int probes_good = 0, slow_periods = 0, silent_periods = 0;
   std::map<Locality, Path> paths;
   bool open() const { return listed.state == EndpointState::in_service; }
 };
 
-struct Proxy {
+struct GroupKey {  // proxies that share tables: by locality and throughput band
   Locality locality{};
   int band = 0;
+  auto operator<=>(const GroupKey&) const = default;
+};
+
+struct Proxy {
+  GroupKey group;
   bool bound = false;
   double usual = 0;
-  std::vector<double> came;  // requests a second by class, smoothed
-  std::vector<bool> heard;
+  std::vector<double> came;  // requests a second by class, smoothed; below 0: not heard of
   std::deque<std::pair<std::uint32_t, double>> unacked;  // serial and lines of messages on their way
   std::deque<Time> pushes;                               // messages within the span
 };
 
-struct TableKey {
-  Locality locality{};
-  int band = 0;
-  bool home = false;  // for the classes that may not leave their locality
-  auto operator<=>(const TableKey&) const = default;
-};
-
 struct Level {
   double amount = -1;
   RetryMode retry = RetryMode::never;
@@ -123,13 +115,17 @@
 struct Table {
   TableId id{};
   std::map<EndpointId, double> sent;
-  std::map<std::size_t, Level> levels;  // by class
+};
+
+struct Group {
+  std::map<bool, Table> tables;  // by whether the classes on it must stay at home
+  std::vector<Level> levels;     // by class, as sent
   Time last_push{};
 };
 
 struct Rate {  // a class's admission rate
   double limit = std::numeric_limits<double>::infinity();
-  double share = 0;  // the max-min share of the last cut, without what the dip below it drains
+  double share = 0;  // the max-min share of the last cut, without the dip that drains
   bool limited() const { return std::isfinite(limit); }
 };
 
@@ -157,44 +153,39 @@
 
 struct Brain::State {
   Settings set;
+  Duration tightest_slo{};
   std::map<EndpointId, Endpoint> endpoints;
   std::map<ProxyId, Proxy> proxies;
-  std::map<TableKey, Table> tables;
+  std::map<GroupKey, Group> groups;
   std::map<TableId, Slice> slices;
   std::vector<Rate> rates;
-  Time now{}, next_cut{}, next_period{}, next_step{}, list_retry{}, list_heard{};
+  Time now{}, next_cut{}, next_period{}, next_step{}, list_retry{}, list_asked{};
   bool started = false, list_waiting = false;
   int list_failures = 0;
   std::uint32_t next_table = 0, serial = 0;
   std::vector<Action> out;
   std::map<ProxyId, double> message;  // lines of this reply, by proxy
 
-  explicit State(Settings s) : set(std::move(s)), rates(set.classes.size()) {}
+  explicit State(Settings s) : set(std::move(s)), rates(set.classes.size()) {
+    tightest_slo = set.classes.empty() ? kStep : set.classes.front().slo;
+    for (const RequestClass& c : set.classes) tightest_slo = std::min(tightest_slo, c.slo);
+  }
 
   // ---- The list ----
   void on(const EndpointList& e) {
     if (e.kind == ListKind::lost) {
-      ++list_failures;
       list_waiting = true;
-      list_retry = now + std::min(set.must_ask_in / 8, set.period * std::exp2(std::min(list_failures, 4)));
+      list_retry = now + std::min(set.must_ask_in / 8, set.period * std::exp2(std::min(++list_failures, 4)));
       return;
     }
-    if (e.kind != ListKind::warm_copy) {
-      list_failures = 0;
-      list_heard = now;
-    }
+    if (e.kind != ListKind::warm_copy) list_failures = 0, list_asked = now;
     std::set<EndpointId> named;
     for (const ListedEndpoint& entry : e.entries) {
       named.insert(entry.id);
       Endpoint& ep = endpoints[entry.id];
-      bool fresh = entry.started_known && (!ep.listed.started_known || ep.listed.started != entry.started);
+      // A restart under the same id: what was known of its health and speed is void.
+      if (entry.started_known && (!ep.listed.started_known || ep.listed.started != entry.started)) ep = {};
       ep.listed = entry;
-      if (fresh) {  // a restart: what was known of its health and speed is void
-        ep.paths.clear();
-        ep.latency = ep.samples = 0;
-        ep.nudge = ep.speed = 1;
-        ep.busy = -1;
-      }
     }
     if (e.kind == ListKind::incremental) return;
     for (auto& [id, ep] : endpoints)
@@ -203,61 +194,52 @@
 
   void follow_list() {
     if (!set.list_on_request) return;
-    if (list_waiting && now >= list_retry) {
-      list_waiting = false;
-      list_heard = now;
-      out.push_back(WatchList{true});
-    } else if (!list_waiting && now - list_heard > set.must_ask_in * 0.8) {
-      list_heard = now;  // a quiet subscription is asked again before it could be deemed unheard
-      out.push_back(WatchList{true});
-    }
+    if (list_waiting ? now < list_retry : now - list_asked < set.must_ask_in * kAskPart) return;
+    list_waiting = false;
+    list_asked = now;
+    out.push_back(WatchList{true});
   }
 
   // ---- Proxies and binding ----
   void on(const ProxyJoined& e) {
-    Proxy& p = proxies[e.proxy];
-    p = Proxy{};
-    p.locality = e.locality;
+    Proxy p;
     p.usual = e.usual_rate;
     if (p.usual <= 0) {  // unknown: counts as average
-      double sum = 0, count = 0;
-      for (auto& [id, other] : proxies)
-        if (other.usual > 0) sum += other.usual, ++count;
-      p.usual = count > 0 ? sum / count : 1;
+      double sum = 0;
+      for (const auto& [id, other] : proxies) sum += other.usual;
+      p.usual = sum > 0 ? sum / static_cast<double>(proxies.size()) : 1;
     }
-    p.band = static_cast<int>(std::floor(std::log(p.usual) / std::log(kBandRatio)));
-    p.came.assign(set.classes.size(), 0);
-    p.heard.assign(set.classes.size(), false);
+    p.group = {e.locality, static_cast<int>(std::floor(std::log(p.usual) / std::log(kBandRatio)))};
+    p.came.assign(set.classes.size(), -1);
+    proxies[e.proxy] = std::move(p);
+  }
+  void on(const ProxyLeft& e) { proxies.erase(e.proxy); }
+
+  std::vector<std::pair<ProxyId, Proxy*>> members(const GroupKey& key) {
+    std::vector<std::pair<ProxyId, Proxy*>> out_members;
+    for (auto& [id, p] : proxies)
+      if (p.group == key && p.bound) out_members.emplace_back(id, &p);
+    return out_members;
   }
 
-  // Once a stream, after all else that this batch told: what the proxy holds is unknown, a full bind settles
-  // it.
+  // Once a stream, after all else of the batch: what the proxy holds is unknown, a full bind settles it.
   void bind_joined() {
-    ClassMask masks[2] = {0, 0};  // free to leave their locality, home-only
+    ClassMask masks[2] = {0, 0};  // free to leave their locality; home-only
     for (std::size_t c = 0; c < set.classes.size(); ++c) masks[set.classes[c].home_only] |= ClassMask{1} << c;
     for (auto& [id, p] : proxies) {
       if (p.bound) continue;
-      for (bool home : {false, true}) {
-        if (masks[home] == 0) continue;
-        TableKey key{p.locality, p.band, home};
-        auto [it, created] = tables.try_emplace(key);
-        if (created) it->second.id = TableId{next_table++};
-        if (!in_use(key)) write_table(key, it->second);  // costs nothing while nobody uses the table
-        message[id] += 1.0 + static_cast<double>(it->second.sent.size() + it->second.levels.size());
-        out.push_back(Bind{masks[home], id, it->second.id});
-      }
+      Group& group = groups[p.group];
+      for (bool home : {false, true})
+        if (masks[home] != 0 && !group.tables.contains(home)) group.tables[home].id = TableId{next_table++};
+      if (members(p.group).empty()) write_group(p.group, group);  // costs nothing while nobody uses it
       p.bound = true;
+      for (auto& [home, table] : group.tables) {
+        message[id] += 1.0 + static_cast<double>(table.sent.size() + set.classes.size());
+        out.push_back(Bind{masks[home], id, table.id});
+      }
     }
   }
 
-  bool in_use(const TableKey& key) const {
-    return std::any_of(proxies.begin(), proxies.end(), [&](const auto& entry) {
-      return entry.second.bound && entry.second.locality == key.locality && entry.second.band == key.band;
-    });
-  }
-
-  void on(const ProxyLeft& e) { proxies.erase(e.proxy); }
-
   // ---- Estimates ----
   void on(const EndpointHeard& e) {
     auto found = endpoints.find(e.endpoint);
@@ -267,19 +249,46 @@
     double good = std::max(0.0, e.tries - e.failed);
     path.new_good += good;
     path.new_bad += e.failed;
-    ep.new_tries += e.tries;
-    ep.new_good += good;
     note_load(ep, e.load);
-    if (good > 0 && e.latency.count() > 0) {
-      ep.new_latency_sum += good * e.latency.count();
-      ep.new_latency_count += good;
-    }
+    if (good > 0 && e.latency.count() > 0)
+      ep.latency_sum += good * e.latency.count(), ep.latency_count += good;
+  }
+
+  void on(const ProxyUsage& e) {
+    auto found = proxies.find(e.proxy);
+    if (found == proxies.end() || e.span.count() <= 0) return;
+    double& came = found->second.came[at(e.request_class)];
+    smooth(came, e.came / (e.span / Duration(1000)), kSmoothing, came < 0);
   }
 
   void note_load(Endpoint& ep, const LoadReport& load) {
-    auto u = load.find("utilization");
-    if (u == load.end()) return;
-    smooth(ep.busy, std::clamp(u->second, 0.0, 1.0), kSmoothing, ep.busy < 0);
+    if (auto u = load.find("utilization"); u != load.end())
+      smooth(ep.busy, std::clamp(u->second, 0.0, 1.0), kSmoothing, ep.busy < 0);
+  }
+
+  void close_period() {
+    for (auto& [id, ep] : endpoints) {
+      double good = 0, bad = 0, seconds = set.period / Duration(1000);
+      for (auto& [z, path] : ep.paths) {
+        good += path.new_good, bad += path.new_bad;
+        path.good = path.good * kFailKeep + path.new_good;
+        path.bad = path.bad * kFailKeep + path.new_bad;
+        path.new_good = path.new_bad = 0;
+      }
+      smooth(ep.load, (good + bad) / seconds, kSmoothing);
+      smooth(ep.served, good / seconds, kSmoothing);
+      ep.silent_periods = good + bad > 0 ? 0 : ep.silent_periods + 1;
+      if (ep.latency_count > 0) {
+        double sample = ep.latency_sum / ep.latency_count;
+        smooth(ep.latency, sample, kSmoothing, ep.answered == 0);
+        smooth(ep.steady, sample, kBaseSmoothing, ep.answered == 0);
+        ep.answered += ep.latency_count;
+        if (ep.answered >= kBaseTries)
+          ep.base = std::min(ep.base > 0 ? ep.base : kBaseMost * tightest_slo.count(), ep.steady);
+      }
+      ep.latency_sum = ep.latency_count = 0;
+      ep.slow_periods = slowdown(ep) > threshold(ep) ? ep.slow_periods + 1 : 0;
+    }
   }
 
   // Listed sizes are rough. Where load reports tell how busy an endpoint is, good tries over busy time is its
@@ -292,28 +301,20 @@
     for (auto& [id, ep] : endpoints)
       if (known(ep)) speed += ep.served / ep.busy, size += ep.listed.size;
     if (speed <= 0 || size <= 0) return;
-    for (auto& [id, ep] : endpoints)
-      if (known(ep))
-        smooth(ep.speed,
-               std::clamp(ep.served / ep.busy / ep.listed.size * size / speed, kSpeedLeast, kSpeedMost),
-               kSpeedSmoothing, false);
-  }
-
-  void on(const ProxyUsage& e) {
-    auto found = proxies.find(e.proxy);
-    if (found == proxies.end() || e.span.count() <= 0) return;
-    std::size_t c = at(e.request_class);
-    smooth(found->second.came[c], e.came / (e.span.count() / 1000), kSmoothing, !found->second.heard[c]);
-    found->second.heard[c] = true;
+    for (auto& [id, ep] : endpoints) {
+      if (!known(ep)) continue;
+      double sample = ep.served / ep.busy / ep.listed.size * size / speed;
+      smooth(ep.speed, std::clamp(sample, kSpeedLeast, kSpeedMost), kSpeedSmoothing);
+    }
   }
 
   // Requests a second of a class that a proxy lets in: what comes, a known limit permitting.
   double admitted(const Proxy& p, std::size_t c) const {
-    double came = p.heard[c] ? p.came[c] : 0;
-    auto table = tables.find({p.locality, p.band, set.classes[c].home_only});
-    if (set.level_kind != LevelKind::rate || table == tables.end()) return came;
-    auto level = table->second.levels.find(c);
-    return level == table->second.levels.end() ? came : std::min(came, level->second.amount);
+    double came = std::max(0.0, p.came[c]);
+    auto group = groups.find(p.group);
+    if (set.level_kind != LevelKind::rate || group == groups.end() || group->second.levels.empty())
+      return came;
+    return std::min(came, group->second.levels[c].amount);
   }
 
   double throughput(std::size_t c) const {
@@ -325,61 +326,13 @@
   double locality_load(Locality z, bool home) const {
     double sum = 0;
     for (const auto& [id, p] : proxies)
-      if (p.locality == z)
-        for (std::size_t c = 0; c < set.classes.size(); ++c)
-          if (set.classes[c].home_only == home) sum += admitted(p, c);
+      for (std::size_t c = 0; c < set.classes.size() && p.group.locality == z; ++c)
+        if (set.classes[c].home_only == home) sum += admitted(p, c);
     return sum;
   }
 
-  void close_period() {
-    std::map<Locality, double> heard;
-    for (auto& [id, ep] : endpoints)
-      for (auto& [z, path] : ep.paths) heard[z] += path.new_good + path.new_bad;
-    std::map<Locality, std::map<EndpointId, double>> part;
-    for (std::size_t z = 0; z < set.localities.size(); ++z) part[Locality(z)] = expected_parts(Locality(z));
-    Duration lag = set.push_delay_most + set.period * 2 + kStep * 2;  // order out, tries, report back
-    for (auto& [id, ep] : endpoints) {
-      ep.silent_periods = ep.new_tries > 0 ? 0 : ep.silent_periods + 1;
-      if (ep.new_latency_count > 0) {
-        double sample = ep.new_latency_sum / ep.new_latency_count;
-        smooth(ep.latency, sample, kSmoothing, ep.samples == 0);
-        smooth(ep.steady, sample, kBaseSmoothing, ep.samples == 0);
-        ep.samples += ep.new_latency_count;
-        if (ep.samples >= kBaseTries)
-          ep.base = std::min(ep.base > 0 ? ep.base : kBaseMost * tightest_slo(), ep.steady);
-      }
-      smooth(ep.load, ep.new_tries / (set.period.count() / 1000), kSmoothing, false);
-      smooth(ep.served, ep.new_good / (set.period.count() / 1000), kSmoothing, false);
-      for (auto& [z, path] : ep.paths) {
-        path.good = path.good * kFailKeep + path.new_good;
-        path.bad = path.bad * kFailKeep + path.new_bad;
-        double share = 0;
-        if (auto p = part[z].find(id); p != part[z].end()) share = p->second;
-        bool counts = path.in_table && now - path.placed > lag;
-        path.expected = path.expected * kFailKeep + (counts ? share * heard[z] : 0);
-        path.new_good = path.new_bad = 0;
-      }
-      ep.new_latency_sum = ep.new_latency_count = ep.new_tries = ep.new_good = 0;
-      ep.slow_periods = slowdown(ep) > threshold(ep) ? ep.slow_periods + 1 : 0;
-    }
-  }
-
-  // The part of a locality's tries that each endpoint should see by the weights sent.
-  std::map<EndpointId, double> expected_parts(Locality z) const {
-    std::map<EndpointId, double> part;
-    double home = locality_load(z, true), rest = locality_load(z, false);
-    if (home + rest <= 0) return part;
-    for (const auto& [key, table] : tables) {
-      if (key.locality != z || !in_use(key)) continue;
-      double weight = key.home ? home : rest, total = 0, bands = 0;
-      for (const auto& [other, t] : tables)
-        if (other.locality == z && other.home == key.home && in_use(other)) ++bands;
-      for (const auto& [id, w] : table.sent) total += w;
-      if (total <= 0) continue;
-      for (const auto& [id, w] : table.sent) part[id] += w / total * weight / (home + rest) / bands;
-    }
-    return part;
-  }
+  // An unheard endpoint counts as average, by having no say: its last figure may be long out of date.
+  bool counts(const Endpoint& ep) const { return ep.open() && ep.base > 0 && ep.silent_periods < kUnheard; }
 
   double fail_share(const Endpoint& ep) const {
     double bad = 0, tries = 0;
@@ -387,45 +340,28 @@
     return tries >= kFailsLeast ? bad / tries : 0;
   }
 
-  // An unheard endpoint counts as average, by having no say: its last figure may be long out of date.
-  bool counts(const Endpoint& ep) const {
-    return ep.open() && ep.base > 0 && ep.silent_periods < kUnheardPeriods;
-  }
-
-  // Latency over the lowest seen; failed tries count as so much more waiting, lest a server that turns work
-  // away look fast.
+  // Latency over the lowest seen. Failed tries count as so much more waiting, lest an endpoint that turns
+  // work away or answers errors quickly look fast and idle.
   double slowdown(const Endpoint& ep) const {
-    if (ep.base <= 0) return 1;
-    return ep.latency / ep.base / std::max(0.2, 1 - fail_share(ep));
+    return ep.base <= 0 ? 1 : ep.latency / ep.base / std::max(0.2, 1 - fail_share(ep));
   }
 
-  double threshold(const Endpoint& ep) const {
-    if (ep.base <= 0) return kSlowdownMost;
-    return std::clamp(1 + kSloPart * tightest_slo() / ep.base, kSlowdownLeast, kSlowdownMost);
+  double threshold(const Endpoint& ep) const {  // T, by the SLO and the endpoint's own baseline
+    return ep.base <= 0 ? kTMost
+                        : std::clamp(1 + kTSloPart * tightest_slo.count() / ep.base, kTLeast, kTMost);
   }
 
-  double tightest_slo() const {
-    Duration tightest = set.classes.front().slo;
-    for (const RequestClass& c : set.classes) tightest = std::min(tightest, c.slo);
-    return tightest.count();
+  // Near T by latency and, where reports tell, busy: latency alone is noise where cores are to spare.
+  double queues(const Endpoint& ep) const {
+    return slowdown(ep) - 1 >= kQueueing * (threshold(ep) - 1) && (ep.busy < 0 || ep.busy >= kBusyFull);
   }
 
-  double mean_of(double (State::*figure)(const Endpoint&) const, double none = 1) const {
+  // The mean of a figure over the endpoints heard of, by load.
+  double mean_of(double (State::*figure)(const Endpoint&) const, double if_none) const {
     double sum = 0, weight = 0;
     for (const auto& [id, ep] : endpoints)
       if (counts(ep)) sum += ep.load * (this->*figure)(ep), weight += ep.load;
-    return weight > 0 ? sum / weight : none;
-  }
-
-  // Near T by latency and, where reports tell, busy: latency alone is noise at an endpoint with cores to
-  // spare.
-  bool queues(const Endpoint& ep) const {
-    return slowdown(ep) - 1 >= kCommon * (threshold(ep) - 1) && (ep.busy < 0 || ep.busy >= kBusyFull);
-  }
-
-  bool ejected(const Endpoint& ep, Locality from) const {
-    auto own = ep.paths.find(ep.listed.locality), path = ep.paths.find(from);
-    return (own != ep.paths.end() && own->second.ejected) || (path != ep.paths.end() && path->second.ejected);
+    return weight > 0 ? sum / weight : if_none;
   }
 
   // ---- The BFAIR step ----
@@ -436,123 +372,103 @@
           (!slowest || slowdown(ep) / threshold(ep) > slowdown(*slowest) / threshold(*slowest)))
         slowest = &ep;
     if (!slowest) return;
-    std::size_t n = set.classes.size();
-    std::vector<double> demand(n, 0);
+    std::vector<double> demand(set.classes.size(), 0);
     double tries = 0, capacity = 0;
     for (const auto& [z, path] : slowest->paths) tries += path.tries();
     for (const auto& [z, path] : slowest->paths) {
       double local = locality_load(z, true) + locality_load(z, false);
-      if (tries <= 0 || local <= 0) continue;
-      double zone_load = slowest->load * path.tries() / tries;
       for (const auto& [id, p] : proxies)
-        if (p.locality == z)
-          for (std::size_t c = 0; c < n; ++c) demand[c] += zone_load * admitted(p, c) / local;
+        for (std::size_t c = 0; c < demand.size() && tries > 0 && local > 0 && p.group.locality == z; ++c)
+          demand[c] += slowest->load * path.tries() / tries * admitted(p, c) / local;
     }
     // Capacity is what was answered: tries that fail there are demand, not proof of capacity.
     double answered = std::max(kAnsweredLeast, 1 - mean_of(&State::fail_share, 0));
     for (double d : demand) capacity += (1 - kAlpha) * d * answered;
     std::vector<double> fair = max_min_shares(capacity, demand);
-    // Exception: servers far slower than the rest are drained by their weights; cutting whole classes for
+    // Exception: endpoints far slower than the rest are drained by their weights; to cut whole classes for
     // them would refuse work that the others can do. Cuts wait until most of the load meets queueing.
-    double queueing = 0, all = 0;
-    for (const auto& [id, ep] : endpoints) {
-      if (!counts(ep)) continue;
-      all += ep.load;
-      if (queues(ep)) queueing += ep.load;
-    }
-    bool common = queueing >= kMostLoad * all;
-    bool overloaded = slowest->slow_periods >= kCutWaitPeriods && common && now >= next_cut;
-    // A cut shows only in tries that start after it, and those end a latency later: the next one waits so
-    // long.
-    if (overloaded)
-      next_cut = now + set.push_delay_most + set.period * kCutWaitPeriods + Duration(slowest->latency);
-    double drain = std::clamp(mean_of(&State::threshold) / mean_of(&State::slowdown), kDrainMost, 1.0);
-    for (std::size_t c = 0; c < n; ++c) {
+    bool common = mean_of(&State::queues, 0) >= kMostLoad, slow = slowest->slow_periods > 0;
+    bool cut = slowest->slow_periods >= kCutWait && common && now >= next_cut;
+    // A cut shows only in tries that start after it, which end a latency later: the next one waits so long.
+    if (cut) next_cut = now + set.push_delay_most + set.period * kCutWait + Duration(slowest->latency);
+    double drain = mean_of(&State::threshold, 1) / mean_of(&State::slowdown, 1);
+    for (std::size_t c = 0; c < demand.size(); ++c) {
       double used = throughput(c);
       Rate& rate = rates[c];
-      if (overloaded && fair[c] < demand[c]) {
-        // Exception: what has jammed must drain, so the rate dips below the share and comes back to it
-        // quickly.
-        double from = rate.limit < rate.share ? rate.share : std::min(rate.limit, used);
-        rate.share = from * fair[c] / demand[c];
-        rate.limit = rate.share * drain;
-      } else if (rate.limited() && !(common && slowest->slow_periods > 0)) {
-        if (rate.limit < rate.share)
-          rate.limit = std::min(rate.share, rate.limit * (1 + kRegain));
-        else if (rate.limit < kRateOverUse * used)
-          rate.limit *= 1 + kBeta;
-        else
-          rate = Rate{};  // binds nobody any more
+      if (cut && fair[c] < demand[c]) {
+        // Exception: what has jammed must drain, so the rate dips below the share and comes back quickly.
+        rate.share =
+            (rate.limit < rate.share ? rate.share : std::min(rate.limit, used)) * fair[c] / demand[c];
+        rate.limit = rate.share * std::clamp(drain, kDrainMost, 1.0);
+      } else if (rate.limited() && !(common && slow)) {
+        if (rate.limit < rate.share) rate.limit = std::min(rate.share, rate.limit * (1 + kRegain));
+        else if (rate.limit < kRateOverUse * used) rate.limit *= 1 + kBeta;
+        else rate = Rate{};  // binds nobody any more
       }
     }
   }
 
   // ---- The weight step ----
   void weight_step() {
-    double mean = mean_of(&State::slowdown);
+    double mean = mean_of(&State::slowdown, 1);
     for (auto& [id, ep] : endpoints) {
-      double off = counts(ep) ? slowdown(ep) / mean : 1;
+      double off = counts(ep) ? std::max(slowdown(ep), 0.01) / mean : 1;
       if (off < 1 + kDeadBand && off > 1 / (1 + kDeadBand)) off = 1;
       // The nudge fades: a baseline that chance set low makes an endpoint look slow for good, and a step that
       // only adds up would drain it.
-      ep.nudge =
-          std::clamp(std::pow(ep.nudge, kNudgeKeep) * std::pow(off, -kWeightGain), kWeightLeast, kWeightMost);
+      ep.nudge = std::pow(ep.nudge, kNudgeKeep) * std::pow(off, -kWeightGain);
+      ep.nudge = std::clamp(ep.nudge, kNudgeLeast, kNudgeMost);
     }
   }
 
   // ---- Health ----
-  void judge_health() {
-    for (std::size_t z = 0; z < set.localities.size(); ++z) {
-      Locality from = Locality(z);
-      double all_bad = 0, all_tries = 0, listed = 0, healthy = 0;
-      for (auto& [id, ep] : endpoints) {
-        if (!ep.open()) continue;
-        listed += ep.listed.size;
-        if (!ejected(ep, from)) healthy += ep.listed.size;
-        if (auto p = ep.paths.find(from); p != ep.paths.end() && !p->second.ejected)
-          all_bad += p->second.bad, all_tries += p->second.tries();
-      }
-      for (auto& [id, ep] : endpoints) {
-        auto found = ep.paths.find(from);
-        if (!ep.open() || found == ep.paths.end()) continue;
-        Path& path = found->second;
-        if (path.ejected) {
-          if (now >= path.until && (!set.may_probe || ep.probes_good >= kProbesGood)) {
-            path = Path{.placed = now, .returned = now, .relapse_watch = true, .ejections = path.ejections};
-          }
-          continue;
-        }
-        double others = all_tries - path.tries();
-        double others_bad = others > 0 ? (all_bad - path.bad) / others : 0;
-        double share = path.tries() > 0 ? path.bad / path.tries() : 0;
-        if (others_bad > kCommonBad) continue;  // what fails everywhere has a common cause
-        bool dead = path.bad >= kFailsLeast && share >= kDeadShare;
-        bool errors = path.bad >= kFailsLeast + 1 && share > others_bad + kErrorShare &&
-                      ep.latency < ep.base * threshold(ep);
-        bool silent = path.expected >= kSilentTries && path.tries() < kSilentShare * path.expected;
-        if (!(dead || errors || silent) || healthy - ep.listed.size < kPanic * listed) continue;
-        healthy -= ep.listed.size;
-        path.ejected = true;
-        path.until = now + kEjectLeast * std::exp2(std::min(path.ejections, kEjectDoublings));
-        ++path.ejections;
-        ep.probes_good = 0;
-        out.push_back(Remark{"eject " + std::to_string(at(id)) +
-                             (dead     ? " dead"
-                              : errors ? " errors"
-                                       : " silent") +
-                             " seen from " + set.localities[z]});
+  bool ejected(const Endpoint& ep, Locality from) const {
+    auto own = ep.paths.find(ep.listed.locality), path = ep.paths.find(from);
+    return (own != ep.paths.end() && own->second.ejected) || (path != ep.paths.end() && path->second.ejected);
+  }
+
+  void judge_health(Locality from) {
+    double all_bad = 0, all_tries = 0, listed = 0, healthy = 0;
+    for (auto& [id, ep] : endpoints) {
+      if (!ep.open()) continue;
+      listed += ep.listed.size;
+      if (!ejected(ep, from)) healthy += ep.listed.size;
+      if (auto p = ep.paths.find(from); p != ep.paths.end() && !p->second.ejected)
+        all_bad += p->second.bad, all_tries += p->second.tries();
+    }
+    for (auto& [id, ep] : endpoints) {
+      auto found = ep.paths.find(from);
+      if (!ep.open() || found == ep.paths.end()) continue;
+      Path& path = found->second;
+      if (path.ejected) {
+        if (now >= path.until && (!set.may_probe || ep.probes_good >= kProbesGood))
+          path = Path{.eases_in = true, .returned = now, .ejections = path.ejections};
+        continue;
       }
+      double others = all_tries - path.tries();
+      double others_bad = others > 0 ? (all_bad - path.bad) / others : 0;
+      double share = path.tries() > 0 ? path.bad / path.tries() : 0;
+      bool dead = path.bad >= kFailsLeast && share >= kDeadShare;
+      bool errors =
+          path.bad > kFailsLeast && share > others_bad + kErrorShare &&
+          ep.latency < ep.base * threshold(ep);  // a slow one that fails is overloaded: weights, cuts
+      if (!(dead || errors) || others_bad > kCommonBad || healthy - ep.listed.size < kPanic * listed)
+        continue;
+      healthy -= ep.listed.size;
+      path.ejected = true;
+      path.until = now + kEjectLeast * std::exp2(std::min(path.ejections++, kEjectDoublings));
+      ep.probes_good = 0;
+      out.push_back(Remark{"eject " + std::to_string(at(id)) + (dead ? ": dead" : ": errors") +
+                           ", seen from " + set.localities[at(from)]});
     }
   }
 
-  // Once a step each open endpoint is probed where probes are allowed and load reports come by no other way;
-  // else only the ejected, on their way back.
+  // Each open endpoint where load reports come by no other way; else only the ejected, on their way back.
   void send_probes() {
-    if (!set.may_probe) return;
     for (auto& [id, ep] : endpoints) {
-      bool any = set.reports_by_probe;
-      for (auto& [z, path] : ep.paths) any |= path.ejected;
-      if (ep.open() && any) out.push_back(Probe{id});
+      bool wanted = set.reports_by_probe;
+      for (auto& [z, path] : ep.paths) wanted |= path.ejected;
+      if (set.may_probe && ep.open() && wanted) out.push_back(Probe{id});
     }
   }
 
@@ -564,204 +480,170 @@
   }
 
   // ---- Slow start ----
-  // The capacity that a starting endpoint is guaranteed to have; the work sent follows it, so that whatever
-  // the true ramp, no more than the usual load for its capacity arrives. An endpoint back from ejection may
-  // have restarted unseen, so it eases in alike, in half the time.
+  // The part of its capacity that a starting endpoint is guaranteed to have; the work sent follows it. One
+  // back from ejection may have restarted unseen, so it eases in alike, in half the time.
   double ramp(const Endpoint& ep, const Path* path) const {
     auto part = [&](Time since, Duration over) {
       return std::clamp(set.start_capacity + (1 - set.start_capacity) * ((now - since) / over), 0.0, 1.0);
     };
-    double r = 1;
-    if (ep.listed.started_known) r = part(ep.listed.started, set.warm_up);
-    if (path && path->relapse_watch) r = std::min(r, part(path->returned, set.warm_up / 2));
-    return r;
+    double r = ep.listed.started_known ? part(ep.listed.started, set.warm_up) : 1;
+    return path && path->eases_in ? std::min(r, part(path->returned, set.warm_up / 2)) : r;
   }
 
-  double strength(const Endpoint& ep, Locality from) const {
+  double strength(const Endpoint& ep, Locality from, double fleet_fails) const {
     if (!ep.open() || ejected(ep, from)) return 0;
     auto p = ep.paths.find(from);
     double r = ramp(ep, p == ep.paths.end() ? nullptr : &p->second);
     if (r >= 1) return ep.listed.size * ep.speed * ep.nudge;
     // Rule 4 in a jam: the fleet's overload, repeats and all, would come to a cold endpoint as well. It waits
-    // until the others no longer fail, or nothing else is left; a controller just started knows of no calm
-    // yet.
-    if (mean_of(&State::fail_share, 1) > kCommonBad) return 0;
-    return ep.listed.size * ep.speed * r * std::min(1.0, ep.nudge);
+    // until the others no longer fail or nothing else is left; a controller just started knows no calm yet.
+    return fleet_fails > kCommonBad ? 0 : ep.listed.size * ep.speed * r * std::min(1.0, ep.nudge);
   }
 
   // ---- Tables ----
-  // Local endpoints by strength; what a locality has over the fleet's mean load goes to the localities under
-  // it.
-  std::map<EndpointId, double> wanted_lines(const TableKey& key) const {
-    std::size_t zones = set.localities.size();
-    std::vector<double> strong(zones, 0), load(zones, 0);
-    double all_strong = 0, all_load = 0;
-    for (const auto& [id, ep] : endpoints) strong[at(ep.listed.locality)] += strength(ep, key.locality);
+  // Local endpoints by strength; a locality's load over the fleet's mean goes to the localities under it.
+  std::map<EndpointId, double> wanted_lines(Locality own, bool home) const {
+    std::size_t zones = set.localities.size(), here = at(own);
+    std::vector<double> strong(zones, 0), spare(zones, 0),
+        factor(zones, 0);  // factor: weight of a unit of strength
+    double all_strong = 0, all_load = 0, all_spare = 0, fleet_fails = mean_of(&State::fail_share, 1);
+    for (const auto& [id, ep] : endpoints) strong[at(ep.listed.locality)] += strength(ep, own, fleet_fails);
     for (std::size_t z = 0; z < zones; ++z) {
-      load[z] = locality_load(Locality(z), true) + locality_load(Locality(z), false);
-      all_strong += strong[z], all_load += load[z];
+      spare[z] = -locality_load(Locality(z), true) - locality_load(Locality(z), false);
+      all_strong += strong[z], all_load -= spare[z];
     }
-    std::vector<double> factor(zones, 0);  // weight of a unit of strength, by the endpoint's locality
-    std::size_t own = at(key.locality);
-    factor[own] = 1;
-    if (!key.home && all_strong > 0) {
-      double mean = all_load / all_strong;
-      double keep = strong[own] * mean * (1 + kSpillSlack);
-      double over = std::min(std::max(0.0, load[own] - keep), locality_load(key.locality, false));
-      double spare = 0;
-      for (std::size_t z = 0; z < zones; ++z)
-        if (z != own) spare += std::max(0.0, strong[z] * mean - load[z]);
-      double stays = load[own] - over;
-      if (strong[own] <= 0) {
-        std::fill(factor.begin(), factor.end(), 1);
-      } else if (over > 0 && spare > 0 && stays > 0) {
-        for (std::size_t z = 0; z < zones; ++z)
-          if (z != own && strong[z] > 0)
-            factor[z] =
-                over * std::max(0.0, strong[z] * mean - load[z]) / spare / strong[z] / (stays / strong[own]);
-      }
+    double mean = all_strong > 0 ? all_load / all_strong : 0, load = -spare[here];
+    for (std::size_t z = 0; z < zones; ++z) {
+      spare[z] = z == here ? 0 : std::max(0.0, spare[z] + strong[z] * mean);
+      all_spare += spare[z];
     }
+    factor[here] = 1;
+    double over = std::min(load - strong[here] * mean * (1 + kSpillSlack), locality_load(own, false));
+    if (!home && strong[here] <= 0) std::fill(factor.begin(), factor.end(), 1);
+    else if (!home && over > 0 && all_spare > 0 && load > over)
+      for (std::size_t z = 0; z < zones; ++z)
+        if (strong[z] > 0 && z != here)
+          factor[z] = over * spare[z] / all_spare / strong[z] * strong[here] / (load - over);
     std::map<EndpointId, double> lines;
     for (const auto& [id, ep] : endpoints)
-      if (double w = strength(ep, key.locality) * factor[at(ep.listed.locality)]; w > 0) lines[id] = w;
-    if (!lines.empty()) return lines;
-    // Rule 1: rather a suspect endpoint than none.
-    for (const auto& [id, ep] : endpoints)
-      if (ep.open() && (!key.home || ep.listed.locality == key.locality))
-        lines[id] = ep.listed.size * ramp(ep, {});
+      if (double w = strength(ep, own, fleet_fails) * factor[at(ep.listed.locality)]; w > 0) lines[id] = w;
+    if (lines.empty())  // rule 1: rather a suspect or cold endpoint than none
+      for (const auto& [id, ep] : endpoints)
+        if (ep.open() && (!home || ep.listed.locality == own)) lines[id] = ep.listed.size * ramp(ep, nullptr);
     return lines;
   }
 
   // ---- Retry modes ----
-  RetryMode retry_mode(std::size_t c) const {
-    const RequestClass& rc = set.classes[c];
-    // What fails everywhere finds no better endpoint: a second try would only be one more knock at full
-    // doors.
+  RetryMode retry_mode(const RequestClass& rc) const {
+    // What fails everywhere finds no better endpoint: a second try is one more knock at full doors.
     if (mean_of(&State::fail_share, 0) > kCommonBad) return RetryMode::never;
     // Just (re)started, into whatever jam there is: no more than is usual, and nothing without proof.
-    if (mean_of(&State::slowdown, 0) == 0) return std::min(set.default_retry, RetryMode::after_proof);
-    bool loaded = mean_of(&State::slowdown) > kLoadedSlowdown;
+    double slow = mean_of(&State::slowdown, 0);
+    if (slow == 0) return std::min(set.default_retry, RetryMode::after_proof);
+    bool loaded = slow > kLoadedSlowdown;
     for (const Rate& r : rates) loaded |= r.limited();
+    // Rule 2: a repeat must meet the endpoints that drop it, in the window; tables span cells and localities.
     bool repeat_is_safe = rc.semantics == Semantics::retryable ||
                           (rc.semantics == Semantics::dedup && rc.scope == DedupScope::all &&
                            2 * set.retry_wait_factor * rc.slo < rc.dedup_window);
     return repeat_is_safe && !loaded ? RetryMode::once : RetryMode::after_proof;
   }
 
-  // ---- Levels: the throughput split over bands ----
-  double wanted_level(const TableKey& key, std::size_t c) const {
-    return std::min(shared_level(key, c), cold_level(key) / static_cast<double>(set.classes.size()));
+  // ---- Levels ----
+  double wanted_level(const GroupKey& key, std::size_t c) const {
+    double open = set.level_kind == LevelKind::rate ? kOpenRate : 1;
+    if (set.level_kind == LevelKind::none) return open;
+    return std::min({open, shared_level(key, c), cold_level(key, set.classes[c].home_only)});
+  }
+
+  // The class's rate, split over bands by throughput and within the band max-min to a rate at each proxy.
+  double shared_level(const GroupKey& key, std::size_t c) const {
+    double all = throughput(c), band = 0;
+    std::vector<double> came;
+    for (const auto& [id, p] : proxies)
+      if (p.group == key) band += admitted(p, c), came.push_back(p.came[c]);
+    if (!rates[c].limited() || all <= 0 || came.empty()) return kOpenRate;
+    if (set.level_kind == LevelKind::share) return rates[c].limit / all;
+    double part = rates[c].limit * band / all, most = 0;
+    for (double f : max_min_shares(part, came)) most = std::max(most, f), part -= f;
+    return most + part;
   }
 
   // Rule 4 where weights can't help: while all that a table may use is cold (a home-only class, its locality
-  // back from a loss), its proxies let in no more than their usual rate times the guaranteed part of the
-  // capacity.
-  double cold_level(const TableKey& key) const {
+  // back from a loss), its proxies let in an even part of their usual rate, times the guaranteed capacity.
+  double cold_level(const GroupKey& key, bool home) const {
     double warmest = 0, usual = 0, count = 0;
     for (const auto& [id, ep] : endpoints)
-      if (ep.open() && (!key.home || ep.listed.locality == key.locality))
-        warmest = std::max(warmest, ramp(ep, {}));
+      if (ep.open() && (!home || ep.listed.locality == key.locality))
+        warmest = std::max(warmest, ramp(ep, nullptr));
     if (set.level_kind != LevelKind::rate || warmest >= 1 || warmest <= 0) return kOpenRate;
     for (const auto& [id, p] : proxies)
-      if (p.locality == key.locality && p.band == key.band) usual += p.usual, ++count;
-    return count > 0 ? usual / count * warmest : kOpenRate;
-  }
-
-  double shared_level(const TableKey& key, std::size_t c) const {
-    if (set.level_kind == LevelKind::none || !rates[c].limited())
-      return set.level_kind == LevelKind::rate ? kOpenRate : 1;
-    double all = 0, band = 0;
-    std::vector<double> came;
-    for (const auto& [id, p] : proxies) {
-      double in = admitted(p, c);
-      all += in;
-      if (p.locality != key.locality || p.band != key.band) continue;
-      band += in;
-      came.push_back(p.came[c]);
-    }
-    if (all <= 0 || came.empty()) return set.level_kind == LevelKind::rate ? kOpenRate : 1;
-    if (set.level_kind == LevelKind::share) return std::min(1.0, rates[c].limit / all);
-    double part = rates[c].limit * band / all;
-    std::vector<double> fair = max_min_shares(part, came);
-    double most = *std::max_element(fair.begin(), fair.end()), sum = 0;
-    for (double f : fair) sum += f;
-    return std::max(most, part - sum + most);
+      if (p.group == key) usual += p.usual, ++count;
+    return count > 0 ? usual / count * warmest / static_cast<double>(set.classes.size()) : kOpenRate;
   }
 
   // ---- Pace of orders ----
-  bool moved(double from, double to) const { return std::abs(to - from) > kMoved * std::max(from, 1e-9); }
-
-  // Writes what has moved; true if anything was written.
-  bool write_table(const TableKey& key, Table& table) {
-    std::size_t before = out.size();
-    std::map<EndpointId, double> want = wanted_lines(key);
-    for (auto& [id, w] : want) {
-      auto had = table.sent.find(id);
-      if (had != table.sent.end() && !moved(had->second, w)) continue;
-      Path& path = endpoints[id].paths[key.locality];
-      if (had == table.sent.end()) path.placed = now, path.in_table = true;
-      table.sent[id] = w;
-      out.push_back(SetLine{table.id, id, w});
-    }
-    for (auto it = table.sent.begin(); it != table.sent.end();) {
-      if (want.contains(it->first)) {
-        ++it;
-        continue;
+  static bool moved(double from, double to) { return std::abs(to - from) > kMoved * std::max(from, 1e-9); }
+
+  // Writes what has moved.
+  void write_group(const GroupKey& key, Group& group) {
+    for (auto& [home, table] : group.tables) {
+      std::map<EndpointId, double> want = wanted_lines(key.locality, home);
+      for (auto& [id, w] : want) {
+        double& had = table.sent[id];
+        if (had > 0 && !moved(had, w)) continue;
+        had = w;
+        out.push_back(SetLine{table.id, id, w});
       }
-      out.push_back(SetLine{table.id, it->first, 0});
-      it = table.sent.erase(it);
+      std::erase_if(table.sent, [&](auto& line) {
+        if (want.contains(line.first)) return false;
+        out.push_back(SetLine{table.id, line.first, 0});
+        return true;
+      });
     }
+    group.levels.resize(set.classes.size());
     for (std::size_t c = 0; c < set.classes.size(); ++c) {
-      if (set.classes[c].home_only != key.home) continue;
-      Level want_level{wanted_level(key, c), retry_mode(c)};
-      Level& had = table.levels[c];
-      if (had.amount >= 0 && had.retry == want_level.retry && !moved(had.amount, want_level.amount)) continue;
-      had = want_level;
-      out.push_back(Admit{table.id, false, ClassMask{1} << c, had.amount, had.retry});
+      Level want{wanted_level(key, c), retry_mode(set.classes[c])};
+      Level& had = group.levels[c];
+      if (had.amount >= 0 && had.retry == want.retry && !moved(had.amount, want.amount)) continue;
+      had = want;
+      TableId table = group.tables.at(set.classes[c].home_only).id;
+      out.push_back(Admit{table, false, ClassMask{1} << c, want.amount, want.retry});
     }
-    return out.size() > before;
   }
 
   // A line that must go or halve at once: draining, gone, ejected or restarted cold.
-  bool urgent(const TableKey& key, const Table& table) const {
-    std::map<EndpointId, double> want = wanted_lines(key);
-    for (const auto& [id, w] : table.sent) {
-      auto it = want.find(id);
-      if ((it == want.end() ? 0 : it->second) < w / 2) return true;
+  bool urgent(const GroupKey& key, const Group& group) const {
+    for (const auto& [home, table] : group.tables) {
+      std::map<EndpointId, double> want = wanted_lines(key.locality, home);
+      for (const auto& [id, w] : table.sent)
+        if (auto it = want.find(id); it == want.end() || it->second < w / 2) return true;
     }
     return false;
   }
 
-  double waiting_lines() const {  // at most: sent and not yet confirmed as applied
-    double sum = 0;
-    for (const auto& [id, p] : proxies)
-      for (const auto& [s, lines] : p.unacked) sum += lines;
-    return sum;
-  }
-
   void publish() {
-    double waiting = waiting_lines();
+    double waiting = 0;  // lines, at most: sent and not yet confirmed as applied
+    for (const auto& [id, p] : proxies)
+      for (const auto& [s, lines] : p.unacked) waiting += lines;
     Duration gap = std::max(kStep, set.period);
-    if (set.pushes_allowed > 0) gap = std::max(gap, set.pushes_span / (kPushPart * set.pushes_allowed));
-    for (auto& [key, table] : tables) {
-      std::size_t most_pushes = 0;
-      std::vector<ProxyId> users;
-      for (auto& [id, p] : proxies)
-        if (p.bound && p.locality == key.locality && p.band == key.band) {
-          users.push_back(id);
-          while (!p.pushes.empty() && now - p.pushes.front() > set.pushes_span) p.pushes.pop_front();
-          most_pushes = std::max(most_pushes, p.pushes.size());
-        }
-      if (users.empty()) continue;
-      bool now_due = urgent(key, table);
-      double allowed = set.pushes_allowed > 0 ? set.pushes_allowed : 1e9;
-      if (static_cast<double>(most_pushes) + 1 > (now_due ? allowed - 1 : allowed * kPushPart)) continue;
-      if (!now_due && (now - table.last_push < gap || waiting > kQueuePart * set.most_waiting_lines))
-        continue;
+    double allowed = set.pushes_allowed > 0 ? set.pushes_allowed : kOpenRate;
+    if (set.pushes_allowed > 0) gap = std::max(gap, set.pushes_span / (kPushPart * allowed));
+    for (auto& [key, group] : groups) {
+      auto users = members(key);
+      double most = 0;
+      for (auto& [id, p] : users) {
+        while (!p->pushes.empty() && now - p->pushes.front() > set.pushes_span) p->pushes.pop_front();
+        most = std::max(most, static_cast<double>(p->pushes.size()) + 1);
+      }
+      bool due = now - group.last_push >= gap && most <= allowed * kPushPart &&
+                 waiting <= kQueuePart * set.most_waiting_lines;
+      if (users.empty() || !(due || (most < allowed && urgent(key, group)))) continue;
       std::size_t before = out.size();
-      if (!write_table(key, table)) continue;
-      table.last_push = now;
-      for (ProxyId id : users) message[id] += static_cast<double>(out.size() - before);
+      write_group(key, group);
+      if (out.size() == before) continue;
+      group.last_push = now;
+      for (auto& [id, p] : users) message[id] += static_cast<double>(out.size() - before);
     }
   }
 
@@ -770,10 +652,9 @@
     serial = (serial + 1) % kSerials;
     out.push_back(Barrier{serial, false});
     for (auto& [id, lines] : message) {
-      auto p = proxies.find(id);
-      if (p == proxies.end()) continue;
-      p->second.unacked.emplace_back(serial, lines + 1 + set.envelope_lines);
-      p->second.pushes.push_back(now);
+      Proxy& p = proxies.at(id);
+      p.unacked.emplace_back(serial, lines + 1 + set.envelope_lines);
+      p.pushes.push_back(now);
     }
     message.clear();
   }
@@ -788,10 +669,8 @@
 
   // ---- Sites with slices ----
   void on(const SliceGiven& e) {
-    if (e.given)
-      slices[e.slice] = Slice{};
-    else
-      slices.erase(e.slice);
+    slices.erase(e.slice);
+    if (e.given) slices[e.slice];
   }
   void on(const SliceHeld& e) {
     if (auto s = slices.find(e.slice); s != slices.end()) s->second.lines[e.endpoint] = e.weight;
@@ -800,75 +679,65 @@
   // Every slice keeps an open endpoint. A single-writer slice is stopped first (level 0) and moves when what
   // the former owner holds must have ended.
   void settle_slices() {
-    std::map<EndpointId, double> load;
-    for (auto& [id, ep] : endpoints)
-      if (ep.open() && ramp(ep, nullptr) >= 1) load[id] = 0;
-    if (load.empty())
+    std::map<EndpointId, double> load;  // slices over size; warm endpoints if there are any
+    for (bool warm : {true, false})
       for (auto& [id, ep] : endpoints)
-        if (ep.open()) load[id] = 0;
+        if (ep.open() && (warm ? ramp(ep, nullptr) >= 1 : load.empty())) load[id] = 0;
+    auto weigh = [&](EndpointId id) { load[id] += 1 / std::max(endpoints[id].listed.size, 1e-3); };
     for (auto& [t, slice] : slices)
       for (auto& [id, w] : slice.lines)
-        if (load.contains(id)) load[id] += 1 / std::max(endpoints[id].listed.size, 1e-3);
+        if (load.contains(id)) weigh(id);
     for (auto& [t, slice] : slices) {
-      bool served = false;
-      for (auto& [id, w] : slice.lines) {
-        auto ep = endpoints.find(id);
-        served |= ep != endpoints.end() && ep->second.open();
-      }
-      if ((served && !slice.moving) || load.empty()) continue;
+      bool served = std::any_of(slice.lines.begin(), slice.lines.end(), [&](auto& line) {
+        auto ep = endpoints.find(line.first);
+        return ep != endpoints.end() && ep->second.open();
+      });
+      if ((served && !slice.moving) || load.empty() || (slice.moving && now < slice.move_at)) continue;
       if (set.single_writer && !slice.moving) {
         slice.moving = true;
         slice.move_at = now + set.push_delay_most + set.lease + set.settle;
         out.push_back(Admit{t, false, 0, 0, RetryMode::never});
         continue;
       }
-      if (slice.moving && now < slice.move_at) continue;
-      auto best =
-          std::min_element(load.begin(), load.end(), [](auto& a, auto& b) { return a.second < b.second; });
-      if (!set.single_writer)
-        for (auto& [id, w] : slice.lines) out.push_back(SetLine{t, id, 0});
-      slice.lines = {{best->first, 1}};
-      out.push_back(SetLine{t, best->first, 1});
-      if (slice.moving)
-        out.push_back(
-            Admit{t, false, 0, set.level_kind == LevelKind::rate ? kOpenRate : 1, set.default_retry});
-      best->second += 1 / std::max(endpoints[best->first].listed.size, 1e-3);
+      EndpointId best = std::min_element(load.begin(), load.end(), [](auto& a, auto& b) {
+                          return a.second < b.second;
+                        })->first;
+      for (auto& [id, w] : slice.lines)
+        if (!set.single_writer) out.push_back(SetLine{t, id, 0});
+      slice.lines = {{best, 1}};
+      out.push_back(SetLine{t, best, 1});
+      double open = set.level_kind == LevelKind::rate ? kOpenRate : 1;
+      if (slice.moving) out.push_back(Admit{t, false, 0, open, set.default_retry});
+      weigh(best);
       slice.moving = false;
     }
   }
 
-  void on(const TimerFired&) {}
-  void on(const PeerMessage&) {}
-  void on(const SliceUsage&) {}
-
-  void start() {
-    started = true;
-    list_heard = now;
-    next_period = now + set.period;
-    next_cut = now;
-    next_step = now + kStep;
-    if (set.list_on_request) out.push_back(WatchList{true});
-    out.push_back(SetTimer{next_period, kTickToken});
-  }
+  template <typename Ignored>
+  void on(const Ignored&) {}  // timers only wake; peers and the load of slices have no say yet
 
   std::vector<Action> handle(Time time, const std::vector<Event>& events) {
     now = time;
     out.clear();
     for (const Event& e : events) std::visit([&](const auto& x) { on(x); }, e);
-    if (!started) start();
+    if (!started) {
+      started = true;
+      list_asked = next_cut = next_step = next_period = now;
+      if (set.list_on_request) out.push_back(WatchList{true});
+    }
     follow_list();
     if (now >= next_period) {
       close_period();
-      judge_health();
+      for (std::size_t z = 0; z < set.localities.size(); ++z) judge_health(Locality(z));
       if (now >= next_step) {
         bfair_step();
         learn_speeds();
         weight_step();
         send_probes();
-        next_step = std::max(next_step + kStep, now);
+        next_step = now + kStep;
       }
-      next_period = std::max(next_period + set.period, now);
-      out.push_back(SetTimer{std::max(next_period, now + set.period / 4), kTickToken});
+      next_period = now + set.period;
+      out.push_back(SetTimer{next_period, 0});
     }
     if (set.slices > 0) {
       settle_slices();
