--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -6,7 +6,9 @@
 #include <cmath>
 #include <deque>
 #include <limits>
+#include <numeric>
 #include <set>
+#include <utility>
 
 namespace beamshunt {
 namespace {
@@ -28,28 +30,26 @@
 constexpr double kQueueing = 0.5;           // of T's queueing: from here an endpoint counts as queueing
 constexpr double kMostLoad = 0.5;           // part of the load that must meet queueing endpoints before a cut
 constexpr double kAnsweredLeast = 0.5;  // a cut trusts no smaller answered part: what fails fast fails often
-constexpr double kDrainMost = 0.85;     // a cut dips to this part of the share at most, to drain a jam
-constexpr double kRegain = 0.25;        // growth of a rate below its last share, each step
+constexpr double kNoLimit = std::numeric_limits<double>::infinity();  // the rate of a class never cut
 // Weights.
-constexpr double kBusyFull = 0.85;        // utilization from which an endpoint has no core to spare
-constexpr double kBusyLeast = 0.1;        // utilization from which it tells a speed
-constexpr double kSpeedSmoothing = 0.15;  // weight of a step's speed sample: noisy and late
-constexpr double kSpeedLeast = 0.1, kSpeedMost = 4;  // bounds of what reports make of a listed size
-constexpr double kDeadBand = 0.25;                   // slowdowns this near to the mean leave a weight alone
-constexpr double kWeightGain = 0.3;                  // exponent of the weight step
-constexpr double kNudgeKeep = 0.8;                   // what a step leaves of the nudge's exponent
-constexpr double kNudgeLeast = 0.2, kNudgeMost = 2;  // bounds of the nudge
+constexpr double kBusyLeast = 0.1, kBusyFull = 0.85;  // utilization that tells a speed; that leaves no core
+constexpr double kSpeedSmoothing = 0.15;              // weight of a step's speed sample: noisy and late
+constexpr double kSpeedLeast = 0.1, kSpeedMost = 4;   // bounds of what reports make of a listed size
+constexpr double kDeadBand = 0.25;                    // slowdowns this near to the mean leave a weight alone
+constexpr double kWeightGain = 0.3;                   // exponent of the weight step
+constexpr double kNudgeKeep = 0.8;                    // what a step leaves of the nudge's exponent
+constexpr double kNudgeLeast = 0.2, kNudgeMost = 2;   // bounds of the nudge
 constexpr double kSpillSlack = 0.1;  // a locality keeps its load up to this part over the fleet's mean
 // Health and retries.
-constexpr double kFailKeep = 0.7;      // what a period leaves of the counts of good and failed tries
-constexpr double kFailsLeast = 3;      // failed tries that are evidence at all
-constexpr double kDeadShare = 0.9;     // failing at least this share: dead or hung, however slow
-constexpr double kErrorShare = 0.3;    // failing this share more than the others, though not slow: broken
-constexpr double kCommonBad = 0.2;     // the others failing this share: a common cause, none is to blame
-constexpr double kPanic = 0.4;         // no ejection that leaves less than this part of the listed size
-constexpr Duration kEjectLeast{3000};  // first ejection, doubling with each relapse
-constexpr int kEjectDoublings = 3;
-constexpr int kProbesGood = 2;         // answered probes in a row before an ejected endpoint comes back
+constexpr double kFailKeep = 0.7;    // what a period leaves of the counts of good and failed tries
+constexpr double kFailsLeast = 3;    // failed tries that are evidence at all
+constexpr double kDeadShare = 0.9;   // failing at least this share: dead or hung, however slow
+constexpr double kErrorShare = 0.3;  // failing this share more than the others, though not slow: broken
+constexpr double kCommonBad = 0.2;   // the others failing this share: a common cause, none is to blame
+constexpr double kPanic = 0.4;       // no ejection that leaves less than this part of the listed size
+constexpr Duration kEjectLeast{
+    3000};  // first ejection; each relapse doubles it, kEjectDoublings times at most
+constexpr int kEjectDoublings = 3, kProbesGood = 2;  // and so many answered probes in a row before the return
 constexpr double kLoadedSlowdown = 2;  // mean slowdown above which nothing is repeated without proof
 // Orders.
 constexpr double kMoved = 0.1;      // a weight or level is sent once it moved by over this part
@@ -107,31 +107,20 @@
   std::deque<Time> pushes;                               // messages within the span
 };
 
-struct Level {
-  double amount = -1;
-  RetryMode retry = RetryMode::never;
-};
-
 struct Table {
   TableId id{};
   std::map<EndpointId, double> sent;
 };
 
 struct Group {
-  std::map<bool, Table> tables;  // by whether the classes on it must stay at home
-  std::vector<Level> levels;     // by class, as sent
+  std::map<bool, Table> tables;                      // by whether the classes on it must stay at home
+  std::vector<std::pair<double, RetryMode>> levels;  // by class, as sent; below 0: not sent yet
   Time last_push{};
 };
 
-struct Rate {  // a class's admission rate
-  double limit = std::numeric_limits<double>::infinity();
-  double share = 0;  // the max-min share of the last cut, without the dip that drains
-  bool limited() const { return std::isfinite(limit); }
-};
-
 struct Slice {
   std::map<EndpointId, double> lines;
-  bool moving = false;
+  bool stopped = false;
   Time move_at{};
 };
 
@@ -139,7 +128,7 @@
 
 std::vector<double> max_min_shares(double capacity, const std::vector<double>& demand) {
   std::vector<std::size_t> order(demand.size());
-  for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
+  std::iota(order.begin(), order.end(), 0);
   std::sort(order.begin(), order.end(), [&](auto a, auto b) { return demand[a] < demand[b]; });
   std::vector<double> fair(demand.size(), 0);
   double left = std::max(0.0, capacity);
@@ -158,7 +147,7 @@
   std::map<ProxyId, Proxy> proxies;
   std::map<GroupKey, Group> groups;
   std::map<TableId, Slice> slices;
-  std::vector<Rate> rates;
+  std::vector<double> rates;  // admission rates by class, requests/s
   Time now{}, next_cut{}, next_period{}, next_step{}, list_retry{}, list_asked{};
   bool started = false, list_waiting = false;
   int list_failures = 0;
@@ -166,7 +155,7 @@
   std::vector<Action> out;
   std::map<ProxyId, double> message;  // lines of this reply, by proxy
 
-  explicit State(Settings s) : set(std::move(s)), rates(set.classes.size()) {
+  explicit State(Settings s) : set(std::move(s)), rates(set.classes.size(), kNoLimit) {
     tightest_slo = set.classes.empty() ? kStep : set.classes.front().slo;
     for (const RequestClass& c : set.classes) tightest_slo = std::min(tightest_slo, c.slo);
   }
@@ -247,8 +236,7 @@
     Endpoint& ep = found->second;
     Path& path = ep.paths[e.from];
     double good = std::max(0.0, e.tries - e.failed);
-    path.new_good += good;
-    path.new_bad += e.failed;
+    path.new_good += good, path.new_bad += e.failed;
     note_load(ep, e.load);
     if (good > 0 && e.latency.count() > 0)
       ep.latency_sum += good * e.latency.count(), ep.latency_count += good;
@@ -314,7 +302,7 @@
     auto group = groups.find(p.group);
     if (set.level_kind != LevelKind::rate || group == groups.end() || group->second.levels.empty())
       return came;
-    return std::min(came, group->second.levels[c].amount);
+    return std::min(came, group->second.levels[c].first);
   }
 
   double throughput(std::size_t c) const {
@@ -391,19 +379,14 @@
     bool cut = slowest->slow_periods >= kCutWait && common && now >= next_cut;
     // A cut shows only in tries that start after it, which end a latency later: the next one waits so long.
     if (cut) next_cut = now + set.push_delay_most + set.period * kCutWait + Duration(slowest->latency);
-    double drain = mean_of(&State::threshold, 1) / mean_of(&State::slowdown, 1);
     for (std::size_t c = 0; c < demand.size(); ++c) {
       double used = throughput(c);
-      Rate& rate = rates[c];
+      double& rate = rates[c];
       if (cut && fair[c] < demand[c]) {
-        // Exception: what has jammed must drain, so the rate dips below the share and comes back quickly.
-        rate.share =
-            (rate.limit < rate.share ? rate.share : std::min(rate.limit, used)) * fair[c] / demand[c];
-        rate.limit = rate.share * std::clamp(drain, kDrainMost, 1.0);
-      } else if (rate.limited() && !(common && slow)) {
-        if (rate.limit < rate.share) rate.limit = std::min(rate.share, rate.limit * (1 + kRegain));
-        else if (rate.limit < kRateOverUse * used) rate.limit *= 1 + kBeta;
-        else rate = Rate{};  // binds nobody any more
+        rate = std::min(rate, used) * fair[c] / demand[c];
+      } else if (rate < kNoLimit && !(common && slow)) {
+        if (rate < kRateOverUse * used) rate *= 1 + kBeta;
+        else rate = kNoLimit;  // binds nobody any more
       }
     }
   }
@@ -504,8 +487,7 @@
   // Local endpoints by strength; a locality's load over the fleet's mean goes to the localities under it.
   std::map<EndpointId, double> wanted_lines(Locality own, bool home) const {
     std::size_t zones = set.localities.size(), here = at(own);
-    std::vector<double> strong(zones, 0), spare(zones, 0),
-        factor(zones, 0);  // factor: weight of a unit of strength
+    std::vector<double> strong(zones, 0), spare(zones, 0), factor(zones, 0);  // factor: weight of a strength
     double all_strong = 0, all_load = 0, all_spare = 0, fleet_fails = mean_of(&State::fail_share, 1);
     for (const auto& [id, ep] : endpoints) strong[at(ep.listed.locality)] += strength(ep, own, fleet_fails);
     for (std::size_t z = 0; z < zones; ++z) {
@@ -541,12 +523,10 @@
     double slow = mean_of(&State::slowdown, 0);
     if (slow == 0) return std::min(set.default_retry, RetryMode::after_proof);
     bool loaded = slow > kLoadedSlowdown;
-    for (const Rate& r : rates) loaded |= r.limited();
-    // Rule 2: a repeat must meet the endpoints that drop it, in the window; tables span cells and localities.
-    bool repeat_is_safe = rc.semantics == Semantics::retryable ||
-                          (rc.semantics == Semantics::dedup && rc.scope == DedupScope::all &&
-                           2 * set.retry_wait_factor * rc.slo < rc.dedup_window);
-    return repeat_is_safe && !loaded ? RetryMode::once : RetryMode::after_proof;
+    for (double r : rates) loaded |= r < kNoLimit;
+    // Rule 2: only what is safe anywhere is repeated without proof that the first try never ran; tables span
+    // cells, so a deduplicated request could meet an endpoint that doesn't know the first.
+    return rc.semantics == Semantics::retryable && !loaded ? RetryMode::once : RetryMode::after_proof;
   }
 
   // ---- Levels ----
@@ -562,9 +542,9 @@
     std::vector<double> came;
     for (const auto& [id, p] : proxies)
       if (p.group == key) band += admitted(p, c), came.push_back(p.came[c]);
-    if (!rates[c].limited() || all <= 0 || came.empty()) return kOpenRate;
-    if (set.level_kind == LevelKind::share) return rates[c].limit / all;
-    double part = rates[c].limit * band / all, most = 0;
+    if (rates[c] == kNoLimit || all <= 0 || came.empty()) return kOpenRate;
+    if (set.level_kind == LevelKind::share) return rates[c] / all;
+    double part = rates[c] * band / all, most = 0;
     for (double f : max_min_shares(part, came)) most = std::max(most, f), part -= f;
     return most + part;
   }
@@ -601,14 +581,14 @@
         return true;
       });
     }
-    group.levels.resize(set.classes.size());
+    group.levels.resize(set.classes.size(), {-1, RetryMode::never});
     for (std::size_t c = 0; c < set.classes.size(); ++c) {
-      Level want{wanted_level(key, c), retry_mode(set.classes[c])};
-      Level& had = group.levels[c];
-      if (had.amount >= 0 && had.retry == want.retry && !moved(had.amount, want.amount)) continue;
+      auto& had = group.levels[c];
+      std::pair want{wanted_level(key, c), retry_mode(set.classes[c])};
+      if (had.first >= 0 && had.second == want.second && !moved(had.first, want.first)) continue;
       had = want;
       TableId table = group.tables.at(set.classes[c].home_only).id;
-      out.push_back(Admit{table, false, ClassMask{1} << c, want.amount, want.retry});
+      out.push_back(Admit{table, false, ClassMask{1} << c, want.first, want.second});
     }
   }
 
@@ -676,40 +656,38 @@
     if (auto s = slices.find(e.slice); s != slices.end()) s->second.lines[e.endpoint] = e.weight;
   }
 
-  // Every slice keeps an open endpoint. A single-writer slice is stopped first (level 0) and moves when what
-  // the former owner holds must have ended.
+  // Lines of closed endpoints go; a slice left without gets the endpoint with the fewest slices for its size.
+  // A single-writer slice is stopped first and moves when what its former owner holds must have ended.
   void settle_slices() {
-    std::map<EndpointId, double> load;  // slices over size; warm endpoints if there are any
-    for (bool warm : {true, false})
-      for (auto& [id, ep] : endpoints)
-        if (ep.open() && (warm ? ramp(ep, nullptr) >= 1 : load.empty())) load[id] = 0;
+    std::map<EndpointId, double> load;  // slices over size; of warm endpoints, if there are any
+    for (double warm : {1.0, 0.0})
+      if (load.empty())
+        for (auto& [id, ep] : endpoints)
+          if (ep.open() && ramp(ep, nullptr) >= warm) load[id] = 0;
     auto weigh = [&](EndpointId id) { load[id] += 1 / std::max(endpoints[id].listed.size, 1e-3); };
     for (auto& [t, slice] : slices)
       for (auto& [id, w] : slice.lines)
         if (load.contains(id)) weigh(id);
     for (auto& [t, slice] : slices) {
-      bool served = std::any_of(slice.lines.begin(), slice.lines.end(), [&](auto& line) {
-        auto ep = endpoints.find(line.first);
-        return ep != endpoints.end() && ep->second.open();
-      });
-      if ((served && !slice.moving) || load.empty() || (slice.moving && now < slice.move_at)) continue;
-      if (set.single_writer && !slice.moving) {
-        slice.moving = true;
-        slice.move_at = now + set.push_delay_most + set.lease + set.settle;
-        out.push_back(Admit{t, false, 0, 0, RetryMode::never});
-        continue;
+      if (!slice.stopped) {
+        std::erase_if(slice.lines, [&](auto& line) {
+          if (endpoints.contains(line.first) && endpoints[line.first].open()) return false;
+          if (!set.single_writer) out.push_back(SetLine{t, line.first, 0});
+          return true;
+        });
+        if (!slice.lines.empty()) continue;
+        slice.stopped = set.single_writer;
+        slice.move_at = now + (set.single_writer ? set.push_delay_most + set.lease + set.settle : Duration{});
+        if (set.single_writer) out.push_back(Admit{t, false, 0, 0, RetryMode::never});
       }
-      EndpointId best = std::min_element(load.begin(), load.end(), [](auto& a, auto& b) {
-                          return a.second < b.second;
-                        })->first;
-      for (auto& [id, w] : slice.lines)
-        if (!set.single_writer) out.push_back(SetLine{t, id, 0});
-      slice.lines = {{best, 1}};
+      if (load.empty() || now < slice.move_at) continue;
+      auto less = [](auto& a, auto& b) { return a.second < b.second; };
+      EndpointId best = std::min_element(load.begin(), load.end(), less)->first;
+      slice.lines[best] = 1;
+      weigh(best);
       out.push_back(SetLine{t, best, 1});
       double open = set.level_kind == LevelKind::rate ? kOpenRate : 1;
-      if (slice.moving) out.push_back(Admit{t, false, 0, open, set.default_retry});
-      weigh(best);
-      slice.moving = false;
+      if (std::exchange(slice.stopped, false)) out.push_back(Admit{t, false, 0, open, set.default_retry});
     }
   }
 
@@ -744,8 +722,8 @@
     } else {
       publish();
       bind_joined();
+      close_message();
     }
-    close_message();
     return std::move(out);
   }
 };
