--- a/src/brain.h
+++ b/src/brain.h
@@ -92,7 +92,7 @@
   EndpointId endpoint{};
   Outcome outcome = Outcome::delivered;
   Duration took{};
-  LoadReport load;
+  LoadReport load{};
 };
 struct PeerMessage {
   std::uint32_t author = 0;
@@ -118,7 +118,7 @@
   double tries = 0, failed = 0;
   Duration latency{};  // mean of the good ones
   Duration span{};
-  LoadReport load;
+  LoadReport load{};
 };
 struct ProxyUsage {  // requests of a class that came to a proxy, refused and repeated ones included
   ProxyId proxy{};
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -0,0 +1,621 @@
+// The module without a wire: each rule's guard, each step of the mechanism, each exception.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <numeric>
+#include <random>
+#include <sstream>
+
+#include "codec.h"
+#include "fleet.h"
+
+namespace beamshunt::test {
+namespace {
+
+const vector<ListedEndpoint> kFour = {endpoint(11, 0), endpoint(12, 0), endpoint(21, 1), endpoint(22, 1)};
+
+auto all_fine = [](const ListedEndpoint& e) { return vector{heard(e, 20, 0, 100)}; };
+auto all_jammed = [](const ListedEndpoint& e) { return vector{heard(e, 20, 2, 3000)}; };
+
+Fleet running(Settings s = two_zone_settings(), vector<ListedEndpoint> entries = kFour) {
+  Fleet f(s);
+  f.start(entries);
+  f.join(1, 0, 20);
+  f.join(2, 1, 20);
+  f.run(12, all_fine);
+  return f;
+}
+
+// ---- Max-min fairness ----
+TEST(MaxMin, GivesTheSmallWhatTheyAskAndSplitsTheRest) {
+  EXPECT_EQ(max_min_shares(10, {2, 8, 10}), (vector<double>{2, 4, 4}));
+  EXPECT_EQ(max_min_shares(100, {2, 8, 10}), (vector<double>{2, 8, 10}));
+  EXPECT_EQ(max_min_shares(0, {2, 8}), (vector<double>{0, 0}));
+  EXPECT_TRUE(max_min_shares(5, {}).empty());
+}
+
+TEST(MaxMin, NeverAboveDemandOrCapacityAndIndependentOfOrder) {
+  std::mt19937 random(3);
+  std::uniform_real_distribution<double> draw(0, 50);
+  for (int round = 0; round < 200; ++round) {
+    vector<double> demand(1 + round % 6);
+    for (double& d : demand) d = draw(random);
+    double capacity = draw(random) * 2;
+    vector<double> fair = max_min_shares(capacity, demand);
+    double sum = std::accumulate(fair.begin(), fair.end(), 0.0);
+    double asked = std::accumulate(demand.begin(), demand.end(), 0.0);
+    EXPECT_NEAR(sum, std::min(capacity, asked), 1e-9);
+    for (std::size_t i = 0; i < demand.size(); ++i) EXPECT_LE(fair[i], demand[i] + 1e-12);
+    vector<double> turned(demand.rbegin(), demand.rend()), back = max_min_shares(capacity, turned);
+    std::reverse(back.begin(), back.end());
+    for (std::size_t i = 0; i < demand.size(); ++i) EXPECT_NEAR(back[i], fair[i], 1e-9);
+  }
+}
+
+// ---- The list ----
+TEST(List, SubscribesAtStartAndAgainAfterALossWithBackoff) {
+  Fleet f(two_zone_settings());
+  f.start(kFour);
+  EXPECT_EQ(Fleet::only<WatchList>(f.last).size(), 1u);
+  EXPECT_TRUE(Fleet::only<WatchList>(f.send({EndpointList{ListKind::lost, {}}})).empty());
+  int asked = 0;
+  for (int i = 0; i < 4; ++i) {
+    f.period(all_fine);
+    asked += static_cast<int>(Fleet::only<WatchList>(f.last).size());
+  }
+  EXPECT_EQ(asked, 1);
+}
+
+TEST(List, NeverSitsPastMustAskInUnheard) {
+  Fleet f(two_zone_settings());
+  f.start(kFour);
+  Time asked = f.now;
+  for (int i = 0; i < 60; ++i) {
+    f.period(all_fine);
+    if (!Fleet::only<WatchList>(f.last).empty()) asked = f.now;
+    ASSERT_LT(f.now - asked, f.settings.must_ask_in);
+  }
+}
+
+TEST(List, PushedListsAreNotAskedFor) {
+  Settings s = two_zone_settings();
+  s.list_on_request = false;
+  s.must_ask_in = Duration{};
+  Fleet f(s);
+  f.start(kFour);
+  EXPECT_TRUE(Fleet::only<WatchList>(f.last).empty());
+  f.run(40, all_fine);
+  EXPECT_TRUE(Fleet::only<WatchList>(f.last).empty());
+}
+
+// ---- Rule 3: drains ----
+TEST(Drain, ALineGoesInTheVeryReplyAndNeverComesBack) {
+  for (EndpointState state : {EndpointState::terminating, EndpointState::terminated}) {
+    Fleet f = running();
+    f.now += Duration(20);
+    ListedEndpoint gone = endpoint(11, 0);
+    gone.state = state;
+    f.send({EndpointList{ListKind::incremental, {gone}}});
+    EXPECT_EQ(f.line(1, 0, 11), 0);
+    EXPECT_GT(f.line(1, 0, 12), 0);
+    f.join(3, 0, 20);  // one that joins later never hears of it
+    EXPECT_EQ(f.line(3, 0, 11), 0);
+    f.run(10, all_fine);
+    EXPECT_EQ(f.line(1, 0, 11), 0);
+  }
+}
+
+TEST(Drain, AnEndpointMissingFromAWholeListIsGone) {
+  Fleet f = running();
+  f.send({EndpointList{ListKind::total, {endpoint(12, 0), endpoint(21, 1), endpoint(22, 1)}}});
+  EXPECT_EQ(f.line(1, 0, 11), 0);
+}
+
+// ---- Rule 1: nobody left without a server ----
+TEST(NeverBare, TheLastSuspectEndpointStaysInTheTable) {
+  Fleet f(two_zone_settings());
+  f.start({endpoint(11, 0)});
+  f.join(1, 0, 20);
+  f.run(20, [](const ListedEndpoint& e) { return vector{heard(e, 10, 10, 0)}; });
+  EXPECT_GT(f.line(1, 0, 11), 0);
+}
+
+TEST(NeverBare, ALocalityWithoutServersReachesAcross) {
+  Fleet f(two_zone_settings());
+  f.start({endpoint(21, 1)});
+  f.join(1, 0, 20);
+  EXPECT_GT(f.line(1, 0, 21), 0);
+}
+
+TEST(NeverBare, AHomeOnlyClassKeepsItsSuspectsRatherThanLeave) {
+  Settings s = two_zone_settings();
+  s.classes[1].home_only = true;
+  Fleet f(s);
+  f.start(kFour);
+  f.join(1, 0, 20);
+  f.join(2, 1, 20);
+  f.run(30, [](const ListedEndpoint& e) {
+    return vector{heard(e, 10, e.locality == Locality(0) ? 10 : 0, 100)};
+  });
+  EXPECT_FALSE(f.lines(1, 1).empty());
+  EXPECT_EQ(f.line(1, 1, 21), 0);
+  EXPECT_EQ(f.line(1, 1, 22), 0);
+  EXPECT_NE(f.bound.at({1, 0}), f.bound.at({1, 1}));
+}
+
+// ---- Binding ----
+TEST(Binding, ProxiesOfALocalityAndBandShareATableAndAreBoundOnceAStream) {
+  Fleet f(two_zone_settings());
+  f.start(kFour);
+  f.send({ProxyJoined{ProxyId(1), Locality(0), 20, true}, ProxyJoined{ProxyId(2), Locality(0), 21, true},
+          ProxyJoined{ProxyId(3), Locality(0), 900, true}, ProxyJoined{ProxyId(4), Locality(1), 20, true}});
+  EXPECT_EQ(Fleet::only<Bind>(f.last).size(), 4u);
+  EXPECT_EQ(f.bound.at({1, 0}), f.bound.at({2, 0}));
+  EXPECT_NE(f.bound.at({1, 0}), f.bound.at({3, 0}));
+  EXPECT_NE(f.bound.at({1, 0}), f.bound.at({4, 0}));
+  f.run(5, all_fine);
+  EXPECT_TRUE(Fleet::only<Bind>(f.last).empty());
+  f.send({ProxyLeft{ProxyId(1)}});
+  f.send({ProxyJoined{ProxyId(1), Locality(0), 20, false}});
+  EXPECT_EQ(Fleet::only<Bind>(f.last).size(), 1u);
+}
+
+TEST(Binding, AnUnknownUsualRateCountsAsAverage) {
+  Fleet f(two_zone_settings());
+  f.start(kFour);
+  f.join(1, 0, 900);
+  f.join(2, 0, 0);
+  EXPECT_EQ(f.bound.at({1, 0}), f.bound.at({2, 0}));
+}
+
+TEST(Binding, AProxyThatLeavesInTheBatchItJoinedIsNotBound) {
+  Fleet f(two_zone_settings());
+  f.start(kFour);
+  f.send({ProxyJoined{ProxyId(1), Locality(0), 20, true}, ProxyLeft{ProxyId(1)}});
+  EXPECT_TRUE(Fleet::only<Bind>(f.last).empty());
+}
+
+TEST(Binding, LocalEndpointsComeFirst) {
+  Fleet f = running();
+  EXPECT_GT(f.line(1, 0, 11), 0);
+  EXPECT_EQ(f.line(1, 0, 21), 0);
+  EXPECT_GT(f.line(2, 0, 21), 0);
+}
+
+TEST(Binding, AnOverloadedLocalityReachesAcross) {
+  Fleet f(two_zone_settings());
+  f.start(kFour);
+  f.join(1, 0, 20);
+  f.join(2, 0, 20);
+  f.join(3, 1, 20);
+  f.run(12, all_fine);
+  EXPECT_GT(f.line(1, 0, 21), 0);
+  EXPECT_LT(f.line(1, 0, 21), f.line(1, 0, 11));
+  EXPECT_EQ(f.line(3, 0, 11), 0);
+}
+
+// ---- The BFAIR step ----
+TEST(Bfair, AClassNeverCutCarriesNoBindingLimit) {
+  Fleet f = running();
+  EXPECT_GE(f.level(1, 0).level, 1e5);
+  EXPECT_GE(f.level(1, 1).level, 1e5);
+}
+
+TEST(Bfair, CutsTheLargestClassFirstOnceAllQueue) {
+  Fleet f = running();
+  f.run(8, all_jammed, 40, 10);
+  EXPECT_LT(f.level(1, 0).level, 80);   // came: 80 a second
+  EXPECT_GE(f.level(1, 1).level, 1e5);  // under its fair share
+}
+
+TEST(Bfair, ACutWaitsThreePeriodsAboveT) {
+  Fleet f = running();
+  f.run(2, all_jammed, 40, 10);
+  EXPECT_GE(f.level(1, 0).level, 1e5);
+}
+
+TEST(Bfair, RatesComeBackAfterTheJamUntilTheyBindNobody) {
+  Fleet f = running();
+  f.run(8, all_jammed, 40, 10);
+  double cut = f.level(1, 0).level;
+  f.run(20, all_fine, 40, 10);
+  EXPECT_GT(f.level(1, 0).level, cut);
+  f.run(80, all_fine, 40, 10);
+  EXPECT_GE(f.level(1, 0).level, 1e5);
+}
+
+// One paused server must not cut whole classes at proxies that never send there: its weight drains instead.
+TEST(Bfair, OneSlowServerIsDrainedNotCutFor) {
+  Fleet f = running();
+  f.run(16,
+        [](const ListedEndpoint& e) { return vector{heard(e, 20, 0, e.id == EndpointId(11) ? 2500 : 100)}; });
+  EXPECT_GE(f.level(1, 0).level, 1e5);
+  EXPECT_LT(f.line(1, 0, 11), 0.5 * f.line(1, 0, 12));
+}
+
+// The next cut waits until tries admitted after the last one can have ended, lest stale latencies cut again.
+TEST(Bfair, CutsAreALatencyApart) {
+  Fleet f = running();
+  vector<Time> cuts;
+  double before = f.level(1, 0).level;
+  for (int i = 0; i < 40; ++i) {
+    f.period(all_jammed, 40, 10);
+    if (double level = f.level(1, 0).level; level < before * 0.95) cuts.push_back(f.now), before = level;
+  }
+  ASSERT_GE(cuts.size(), 2u);
+  for (std::size_t i = 1; i < cuts.size(); ++i) EXPECT_GE(cuts[i] - cuts[i - 1], Duration(3000));
+}
+
+TEST(Bfair, BusyReportsThatShowIdleCoresStopACut) {
+  Fleet f = running();
+  f.run(
+      10,
+      [](const ListedEndpoint& e) {
+        EndpointHeard h = heard(e, 20, 0, 3000);
+        h.load = {{"utilization", 0.2}};
+        return vector{h};
+      },
+      40, 10);
+  EXPECT_GE(f.level(1, 0).level, 1e5);
+}
+
+TEST(Bfair, ABandsPartIsSplitToARateAtEachProxy) {
+  Fleet f(two_zone_settings());
+  f.start(kFour);
+  f.join(1, 0, 20);
+  f.join(2, 1, 20);
+  f.join(3, 1, 20);
+  f.run(12, all_fine);
+  f.run(8, all_jammed, 40, 10);
+  double total = f.level(1, 0).level + 2 * f.level(2, 0).level;
+  EXPECT_LT(total, 240);  // 3 x 80 came
+  EXPECT_GT(total, 60);
+  EXPECT_NEAR(f.level(1, 0).level, f.level(2, 0).level, 0.25 * f.level(1, 0).level);
+}
+
+TEST(Bfair, ShareSitesGetAShare) {
+  Settings s = two_zone_settings();
+  s.level_kind = LevelKind::share;
+  Fleet f = running(s);
+  EXPECT_EQ(f.level(1, 0).level, 1);
+  f.run(8, all_jammed, 40, 10);
+  EXPECT_LT(f.level(1, 0).level, 1);
+  EXPECT_GT(f.level(1, 0).level, 0);
+}
+
+// ---- The weight step ----
+TEST(Weights, AFadingNudgeForgetsALuckyBaseline) {
+  Fleet f = running();
+  f.run(10,
+        [](const ListedEndpoint& e) { return vector{heard(e, 20, 0, e.id == EndpointId(11) ? 400 : 100)}; });
+  double drained = f.line(1, 0, 11);
+  f.run(40, all_fine);
+  EXPECT_GT(f.line(1, 0, 11), drained);
+  EXPECT_NEAR(f.line(1, 0, 11), f.line(1, 0, 12), 0.3 * f.line(1, 0, 12));
+}
+
+TEST(Weights, AWrongListedSizeIsLearnedFromLoadReports) {
+  Fleet f = running();
+  f.run(60, [](const ListedEndpoint& e) {
+    EndpointHeard h = heard(e, 20, 0, 100);
+    h.load = {{"utilization", e.id == EndpointId(11) ? 0.8 : 0.4}};
+    return vector{h};
+  });
+  EXPECT_LT(f.line(1, 0, 11), 0.7 * f.line(1, 0, 12));
+}
+
+// ---- Health ----
+auto server_fails = [](const ListedEndpoint& e) {
+  return vector{heard(e, 10, e.id == EndpointId(11) ? 10 : 0, 100)};
+};
+
+TEST(Health, ADeadServerIsEjectedAndProbed) {
+  Fleet f = running();
+  f.run(4, server_fails);
+  EXPECT_EQ(f.line(1, 0, 11), 0);
+  f.run(2, server_fails);
+  bool probed = false;
+  for (int i = 0; i < 3; ++i) {
+    f.period(server_fails);
+    for (const Probe& p : Fleet::only<Probe>(f.last)) probed |= p.endpoint == EndpointId(11);
+  }
+  EXPECT_TRUE(probed);
+}
+
+TEST(Health, ReturnsByAnsweredProbesAndEasesIn) {
+  Fleet f = running();
+  f.run(4, server_fails);
+  ASSERT_EQ(f.line(1, 0, 11), 0);
+  auto quiet_there = [](const ListedEndpoint& e) {
+    return e.id == EndpointId(11) ? vector<EndpointHeard>{} : vector{heard(e, 10, 0, 100)};
+  };
+  f.run(12, quiet_there);
+  EXPECT_EQ(f.line(1, 0, 11), 0) << "no evidence, no return";
+  for (int i = 0; i < 2; ++i) f.send({ProbeResult{EndpointId(11), Outcome::delivered, Duration(5), {}}});
+  f.run(3, quiet_there);
+  EXPECT_GT(f.line(1, 0, 11), 0);
+  EXPECT_LT(f.line(1, 0, 11), 0.6 * f.line(1, 0, 12));
+}
+
+TEST(Health, AServerAnsweringErrorsQuicklyIsEjected) {
+  Fleet f = running();
+  f.run(8, [](const ListedEndpoint& e) {
+    return vector{heard(e, 20, e.id == EndpointId(11) ? 12 : 0, e.id == EndpointId(11) ? 20 : 100)};
+  });
+  EXPECT_EQ(f.line(1, 0, 11), 0);
+}
+
+// What fails everywhere has a common cause: ejecting would only pile the load on fewer.
+TEST(Health, NobodyIsEjectedWhenAllFailAlike) {
+  Fleet f = running();
+  f.run(20, [](const ListedEndpoint& e) { return vector{heard(e, 20, 19, 100)}; });
+  EXPECT_GT(f.line(1, 0, 11), 0);
+  EXPECT_GT(f.line(1, 0, 12), 0);
+}
+
+TEST(Health, APathFaultEjectsForItsOwnSideOnly) {
+  Fleet f(two_zone_settings());
+  f.start(kFour);
+  f.join(1, 0, 20);
+  f.join(2, 0, 20);
+  f.join(3, 1, 20);
+  auto cut_between = [](const ListedEndpoint& e) {
+    vector<EndpointHeard> h = {heard(e, 40, 0, 100)};
+    if (e.id == EndpointId(21)) {  // the east's proxies fail there, the west's do not
+      h.push_back(heard(e, 5, 5, 0));
+      h.back().from = Locality(0);
+    }
+    return h;
+  };
+  f.run(12, all_fine);
+  ASSERT_GT(f.line(1, 0, 21), 0);
+  f.run(6, cut_between);
+  EXPECT_EQ(f.line(1, 0, 21), 0);
+  EXPECT_GT(f.line(3, 0, 21), 0);
+}
+
+TEST(Health, ThePanicThresholdKeepsPartOfTheFleet) {
+  vector<ListedEndpoint> many;
+  for (unsigned i = 1; i <= 10; ++i) many.push_back(endpoint(i, 0));
+  Fleet f(two_zone_settings());
+  f.start(many);
+  f.join(1, 0, 20);
+  f.run(12, all_fine);
+  for (unsigned dead = 1; dead <= 9; ++dead)  // one by one, so that the others look fine each time
+    f.run(4, [&](const ListedEndpoint& e) {
+      if (static_cast<unsigned>(e.id) < dead) return vector<EndpointHeard>{};
+      return vector{heard(e, 10, static_cast<unsigned>(e.id) == dead ? 10 : 0, 100)};
+    });
+  EXPECT_GE(f.lines(1, 0).size(), 4u);
+}
+
+// ---- Rule 4: cold servers ----
+TEST(ColdStart, WorkFollowsTheGuaranteedCapacity) {
+  Fleet f = running();
+  ListedEndpoint fresh = endpoint(11, 0);
+  fresh.started = f.now;
+  fresh.started_known = true;
+  f.send({EndpointList{ListKind::incremental, {fresh}}});
+  EXPECT_LE(f.line(1, 0, 11), 0.3 * f.line(1, 0, 12));
+  f.run(16, all_fine);  // half of the warm-up
+  EXPECT_LE(f.line(1, 0, 11), 0.75 * f.line(1, 0, 12));
+  EXPECT_GT(f.line(1, 0, 11), 0.3 * f.line(1, 0, 12));
+  f.run(40, all_fine);
+  EXPECT_NEAR(f.line(1, 0, 11), f.line(1, 0, 12), 0.4 * f.line(1, 0, 12));
+}
+
+TEST(ColdStart, NoColdServerIsUsedWhileTheFleetFails) {
+  Fleet f = running();
+  f.run(8, [](const ListedEndpoint& e) { return vector{heard(e, 20, 14, 800)}; });
+  ListedEndpoint fresh = endpoint(11, 0);
+  fresh.started = f.now;
+  fresh.started_known = true;
+  f.send({EndpointList{ListKind::incremental, {fresh}}});
+  EXPECT_EQ(f.line(1, 0, 11), 0);
+  EXPECT_GT(f.line(1, 0, 12), 0);
+}
+
+// A controller that starts into a jam has heard of no calm: cold servers wait for the first reports.
+TEST(ColdStart, AControllerJustStartedSparesColdServers) {
+  Fleet f(two_zone_settings());
+  vector<ListedEndpoint> entries = kFour;
+  entries[0].started = f.now;
+  entries[0].started_known = true;
+  f.start(entries);
+  f.join(1, 0, 20);
+  EXPECT_EQ(f.line(1, 0, 11), 0);
+  EXPECT_GT(f.line(1, 0, 12), 0);
+}
+
+TEST(ColdStart, AHomeOnlyClassIsLimitedWhileItsWholeLocalityIsCold) {
+  Settings s = two_zone_settings();
+  s.classes[1].home_only = true;
+  Fleet f(s);
+  vector<ListedEndpoint> entries = kFour;
+  for (int i : {0, 1}) entries[i].started = f.now, entries[i].started_known = true;
+  f.start(entries);
+  f.join(1, 0, 20);
+  f.join(2, 1, 20);
+  EXPECT_LE(f.level(1, 1).level, 20 * 0.3);
+  EXPECT_GT(f.level(1, 1).level, 0);
+  EXPECT_FALSE(f.lines(1, 1).empty());
+  EXPECT_GE(f.level(2, 1).level, 1e5);
+  f.run(40, all_fine);
+  EXPECT_GE(f.level(1, 1).level, 1e5);
+}
+
+TEST(ColdStart, ARestartUnderTheSameIdForgetsItsHealth) {
+  Fleet f = running();
+  f.run(4, server_fails);
+  ASSERT_EQ(f.line(1, 0, 11), 0);
+  ListedEndpoint fresh = endpoint(11, 0);
+  fresh.started = f.now;
+  fresh.started_known = true;
+  f.listed[0] = fresh;
+  f.send({EndpointList{ListKind::incremental, {fresh}}});
+  f.run(6, all_fine);
+  EXPECT_GT(f.line(1, 0, 11), 0);
+}
+
+// ---- Rule 2: retries ----
+TEST(Retries, OnlySafeClassesRepeatWithoutProof) {
+  Settings s = two_zone_settings();
+  s.classes.push_back({.slo = Duration(1000),
+                       .deadline = Duration(4000),
+                       .dedup_window = Duration(3000),
+                       .semantics = Semantics::dedup,
+                       .scope = DedupScope::cell});
+  Fleet f(s);
+  f.start(kFour);
+  f.join(1, 0, 20);
+  for (int i = 0; i < 100; ++i) {
+    f.period(i % 3 ? all_fine : [](const ListedEndpoint& e) { return vector{heard(e, 20, 1, 100)}; });
+    ASSERT_LE(f.level(1, 1).retry, RetryMode::after_proof);
+    ASSERT_LE(f.level(1, 2).retry, RetryMode::after_proof);
+  }
+  EXPECT_EQ(f.level(1, 0).retry, RetryMode::once);
+}
+
+TEST(Retries, NoStormUnderOverload) {
+  Fleet f = running();
+  EXPECT_EQ(f.level(1, 0).retry, RetryMode::once);
+  f.run(8, all_jammed, 40, 10);
+  EXPECT_LE(f.level(1, 0).retry, RetryMode::after_proof);
+  f.run(
+      8, [](const ListedEndpoint& e) { return vector{heard(e, 40, 30, 3000)}; }, 40, 10);
+  EXPECT_EQ(f.level(1, 0).retry, RetryMode::never);
+}
+
+TEST(Retries, AFreshControllerAllowsNoMoreThanIsUsual) {
+  for (RetryMode usual : {RetryMode::never, RetryMode::after_proof, RetryMode::twice}) {
+    Settings s = two_zone_settings();
+    s.default_retry = usual;
+    Fleet f(s);
+    f.start(kFour);
+    f.join(1, 0, 20);
+    EXPECT_EQ(f.level(1, 1).retry, std::min(usual, RetryMode::after_proof));
+  }
+}
+
+// ---- Rule 5: the pace of orders ----
+TEST(Pace, MessagesToAProxyStayWithinTheSpan) {
+  Settings s = two_zone_settings();
+  s.pushes_allowed = 12;
+  Fleet f(s);
+  f.start(kFour);
+  f.join(1, 0, 20);
+  f.join(2, 1, 20);
+  vector<std::pair<Time, int>> sent;
+  for (int i = 0; i < 200; ++i) {  // everything moves all the time, some of it urgently
+    f.period([&](const ListedEndpoint& e) {
+      return vector{heard(e, 20, (i / 3) % 2 && e.id == EndpointId(11) ? 20 : 0, 100 + 300.0 * (i % 5))};
+    });
+    sent.emplace_back(f.now, f.messages[1]);
+    for (auto& [then, count] : sent)
+      if (f.now - then <= s.pushes_span) {
+        ASSERT_LE(f.messages[1] - count, s.pushes_allowed);
+        break;
+      }
+  }
+  EXPECT_GT(f.messages[1], 20);
+}
+
+TEST(Pace, NothingOrdinaryIsSentWhileTheChannelIsBehind) {
+  Settings s = two_zone_settings();
+  s.most_waiting_lines = 40;
+  Fleet f(s);
+  f.start(kFour);
+  for (unsigned p = 1; p <= 4; ++p) f.join(p, p % 2, 20);
+  for (int i = 0; i < 20; ++i) {
+    f.now += s.period;  // nothing is confirmed: the channel is stuck
+    f.send({TimerFired{}});
+    ASSERT_TRUE(Fleet::only<Admit>(f.last).empty());
+  }
+}
+
+TEST(Pace, NoUselessLines) {
+  Fleet f = running();
+  f.run(30, all_fine);
+  int before = f.messages[1];
+  f.run(30, all_fine);
+  EXPECT_EQ(f.messages[1], before);
+}
+
+// ---- Slices ----
+Settings slice_settings(bool single_writer) {
+  Settings s = two_zone_settings();
+  s.slices = 4;
+  s.single_writer = single_writer;
+  s.lease = Duration(2500);
+  s.settle = Duration(5000);
+  return s;
+}
+
+TEST(Slices, ASliceWithoutAnOpenEndpointGetsOne) {
+  Fleet f(slice_settings(false));
+  f.start(kFour);
+  f.send({SliceGiven{TableId(3), true}, SliceHeld{TableId(3), EndpointId(11), 1}});
+  EXPECT_TRUE(Fleet::only<SetLine>(f.last).empty());
+  ListedEndpoint gone = endpoint(11, 0);
+  gone.state = EndpointState::terminating;
+  f.send({EndpointList{ListKind::incremental, {gone}}});
+  EXPECT_EQ(f.tables[TableId(3)].size(), 1u);
+  EXPECT_FALSE(f.tables[TableId(3)].contains(EndpointId(11)));
+  EXPECT_TRUE(Fleet::only<Bind>(f.last).empty());
+}
+
+TEST(Slices, ASingleWriterSliceStopsAndSettlesBeforeItMoves) {
+  Fleet f(slice_settings(true));
+  f.start(kFour);
+  f.send({SliceGiven{TableId(3), true}, SliceHeld{TableId(3), EndpointId(11), 1}});
+  ListedEndpoint gone = endpoint(11, 0);
+  gone.state = EndpointState::terminated;
+  f.send({EndpointList{ListKind::incremental, {gone}}});
+  auto stops = Fleet::only<Admit>(f.last);
+  ASSERT_EQ(stops.size(), 1u);
+  EXPECT_EQ(stops[0].level, 0);
+  Time stopped = f.now;
+  while (Fleet::only<SetLine>(f.last).empty() && f.now - stopped < Duration(20000)) {
+    f.now += f.settings.period;
+    f.send({TimerFired{}});
+  }
+  EXPECT_GE(f.now - stopped, Duration(8000));
+  ASSERT_EQ(Fleet::only<Admit>(f.last).size(), 1u);
+  EXPECT_GT(Fleet::only<Admit>(f.last)[0].level, 0);
+}
+
+TEST(Slices, ColdEndpointsServeWhenAllAreCold) {
+  Fleet f(slice_settings(false));
+  vector<ListedEndpoint> entries = kFour;
+  for (ListedEndpoint& e : entries) e.started = f.now, e.started_known = true;
+  f.start(entries);
+  f.send({SliceGiven{TableId(0), true}, SliceGiven{TableId(1), true}, SliceGiven{TableId(2), true}});
+  std::set<EndpointId> used;
+  for (auto& [t, lines] : f.tables)
+    for (auto& [id, w] : lines) used.insert(id);
+  EXPECT_EQ(used.size(), 3u);
+}
+
+// ---- Determinism ----
+TEST(Determinism, SameEventsSameActionsWhateverTheClocksOrigin) {
+  auto play = [](double origin) {
+    Fleet f(two_zone_settings(), origin);
+    f.start(kFour);
+    f.join(1, 0, 20);
+    f.join(2, 1, 20);
+    std::string text;
+    for (int i = 0; i < 60; ++i) {
+      f.period(i < 20 ? all_fine : all_jammed, 40, 10);
+      for (const Action& a : f.last)
+        if (!std::holds_alternative<SetTimer>(a)) wire::append_action(text, "assigner_0", a);
+    }
+    return text;
+  };
+  std::string first = play(1000);
+  EXPECT_FALSE(first.empty());
+  EXPECT_EQ(first, play(1000));
+  EXPECT_EQ(first, play(1048576));
+}
+
+}  // namespace
+}  // namespace beamshunt::test
