--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -24,6 +24,7 @@
 constexpr double kTSloPart = 0.5;           // T: queueing takes this part of the tightest SLO
 constexpr double kAlpha = 0.1;              // part of the bottleneck's demand that a cut takes away
 constexpr double kBeta = 0.05;              // growth of a rate that isn't cut, each step
+constexpr double kBetaFree = 0.3;           // and so much more where all of the fleet's room is free
 constexpr double kRateOverUse = 2;          // a rate grows only while under this multiple of its throughput
 constexpr int kCutWait = 3;                 // periods above T before a cut
 constexpr int kUnheard = 4;                 // periods without a try that ended: the endpoint has no say
@@ -344,6 +345,12 @@
     return slowdown(ep) - 1 >= kQueueing * (threshold(ep) - 1) && (ep.busy < 0 || ep.busy >= kBusyFull);
   }
 
+  // The part of an endpoint's room that is free: by load reports, else by how far its queueing is from T's.
+  double headroom(const Endpoint& ep) const {
+    double taken = ep.busy >= 0 ? ep.busy / kBusyFull : (slowdown(ep) - 1) / (threshold(ep) - 1);
+    return std::clamp(1 - taken, 0.0, 1.0);
+  }
+
   // The mean of a figure over the endpoints heard of, by load.
   double mean_of(double (State::*figure)(const Endpoint&) const, double if_none) const {
     double sum = 0, weight = 0;
@@ -385,7 +392,7 @@
       if (cut && fair[c] < demand[c]) {
         rate = std::min(rate, used) * fair[c] / demand[c];
       } else if (rate < kNoLimit && !(common && slow)) {
-        if (rate < kRateOverUse * used) rate *= 1 + kBeta;
+        if (rate < kRateOverUse * used) rate *= 1 + kBeta + kBetaFree * mean_of(&State::headroom, 0);
         else rate = kNoLimit;  // binds nobody any more
       }
     }
