--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -16,12 +16,12 @@
 // ---- Constants: unit, reason ----
 // BFAIR step.
 constexpr Duration kStep{1000};             // BFAIR and weight step: once a second, as in the paper
-constexpr double kSmoothing = 0.3;          // weight of a period's sample in smoothed estimates
+constexpr double kSmoothing = 0.5;          // weight of a period's sample in smoothed estimates
 constexpr double kBaseSmoothing = 0.1;      // the same for the baseline: the lowest of a short mean is noise
 constexpr double kBaseTries = 20;           // answered tries before a baseline is taken
 constexpr double kBaseMost = 0.5;           // of the tightest SLO: a higher baseline was taken in a jam
 constexpr double kTLeast = 2, kTMost = 10;  // bounds of T, the slowdown that makes a bottleneck
-constexpr double kTSloPart = 0.5;           // T: queueing takes this part of the tightest SLO
+constexpr double kTSloPart = 0.3;           // T: queueing takes this part of the tightest SLO
 constexpr double kAlpha = 0.1;              // part of the bottleneck's demand that a cut takes away
 constexpr double kBeta = 0.05;              // growth of a rate that isn't cut, each step
 constexpr double kBetaFree = 0.3;           // and so much more where all of the fleet's room is free
