--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -28,8 +28,7 @@
 constexpr double kRateOverUse = 2;          // a rate grows only while under this multiple of its throughput
 constexpr int kCutWait = 3;                 // periods above T before a cut
 constexpr int kUnheard = 4;                 // periods without a try that ended: the endpoint has no say
-constexpr double kQueueing = 0.5;           // of T's queueing: from here an endpoint counts as queueing
-constexpr double kMostLoad = 0.5;           // part of the load that must meet queueing endpoints before a cut
+constexpr double kRoomLeast = 0.15;  // a fleet with more free room than this needs better weights, not cuts
 constexpr double kAnsweredLeast = 0.5;  // a cut trusts no smaller answered part: what fails fast fails often
 constexpr double kNoLimit = std::numeric_limits<double>::infinity();  // the rate of a class never cut
 // Weights.
@@ -340,11 +339,6 @@
                         : std::clamp(1 + kTSloPart * tightest_slo.count() / ep.base, kTLeast, kTMost);
   }
 
-  // Near T by latency and, where reports tell, busy: latency alone is noise where cores are to spare.
-  double queues(const Endpoint& ep) const {
-    return slowdown(ep) - 1 >= kQueueing * (threshold(ep) - 1) && (ep.busy < 0 || ep.busy >= kBusyFull);
-  }
-
   // The part of an endpoint's room that is free: by load reports, else by how far its queueing is from T's.
   double headroom(const Endpoint& ep) const {
     double taken = ep.busy >= 0 ? ep.busy / kBusyFull : (slowdown(ep) - 1) / (threshold(ep) - 1);
@@ -382,7 +376,7 @@
     std::vector<double> fair = max_min_shares(capacity, demand);
     // Exception: endpoints far slower than the rest are drained by their weights; to cut whole classes for
     // them would refuse work that the others can do. Cuts wait until most of the load meets queueing.
-    bool common = mean_of(&State::queues, 0) >= kMostLoad, slow = slowest->slow_periods > 0;
+    bool common = mean_of(&State::headroom, 0)<kRoomLeast, slow = slowest->slow_periods> 0;
     bool cut = slowest->slow_periods >= kCutWait && common && now >= next_cut;
     // A cut shows only in tries that start after it, which end a latency later: the next one waits so long.
     if (cut) next_cut = now + set.push_delay_most + set.period * kCutWait + Duration(slowest->latency);
