--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -142,7 +142,7 @@
 
 struct Brain::State {
   Settings set;
-  Duration tightest_slo{};
+  Duration tightest_slo = Duration::max();
   std::map<EndpointId, Endpoint> endpoints;
   std::map<ProxyId, Proxy> proxies;
   std::map<GroupKey, Group> groups;
@@ -156,7 +156,6 @@
   std::map<ProxyId, double> message;  // lines of this reply, by proxy
 
   explicit State(Settings s) : set(std::move(s)), rates(set.classes.size(), kNoLimit) {
-    tightest_slo = set.classes.empty() ? kStep : set.classes.front().slo;
     for (const RequestClass& c : set.classes) tightest_slo = std::min(tightest_slo, c.slo);
   }
 
@@ -302,7 +301,8 @@
     auto group = groups.find(p.group);
     if (set.level_kind != LevelKind::rate || group == groups.end() || group->second.levels.empty())
       return came;
-    return std::min(came, group->second.levels[c].first);
+    double level = group->second.levels[c].first;  // below 0 while a new group's first levels are being made
+    return level < 0 ? came : std::min(came, level);
   }
 
   double throughput(std::size_t c) const {
@@ -376,7 +376,7 @@
     std::vector<double> fair = max_min_shares(capacity, demand);
     // Exception: endpoints far slower than the rest are drained by their weights; to cut whole classes for
     // them would refuse work that the others can do. Cuts wait until most of the load meets queueing.
-    bool common = mean_of(&State::headroom, 0)<kRoomLeast, slow = slowest->slow_periods> 0;
+    bool common = mean_of(&State::headroom, 0) < kRoomLeast;
     bool cut = slowest->slow_periods >= kCutWait && common && now >= next_cut;
     // A cut shows only in tries that start after it, which end a latency later: the next one waits so long.
     if (cut) next_cut = now + set.push_delay_most + set.period * kCutWait + Duration(slowest->latency);
@@ -385,7 +385,7 @@
       double& rate = rates[c];
       if (cut && fair[c] < demand[c]) {
         rate = std::min(rate, used) * fair[c] / demand[c];
-      } else if (rate < kNoLimit && !(common && slow)) {
+      } else if (rate < kNoLimit && !(common && slowest->slow_periods > 0)) {
         if (rate < kRateOverUse * used) rate *= 1 + kBeta + kBetaFree * mean_of(&State::headroom, 0);
         else rate = kNoLimit;  // binds nobody any more
       }
@@ -607,9 +607,8 @@
     double waiting = 0;  // lines, at most: sent and not yet confirmed as applied
     for (const auto& [id, p] : proxies)
       for (const auto& [s, lines] : p.unacked) waiting += lines;
-    Duration gap = std::max(kStep, set.period);
     double allowed = set.pushes_allowed > 0 ? set.pushes_allowed : kOpenRate;
-    if (set.pushes_allowed > 0) gap = std::max(gap, set.pushes_span / (kPushPart * allowed));
+    Duration gap = std::max({kStep, set.period, set.pushes_span / (kPushPart * allowed)});
     for (auto& [key, group] : groups) {
       auto users = members(key);
       double most = 0;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -273,6 +273,21 @@
   EXPECT_NEAR(f.level(1, 0).level, f.level(2, 0).level, 0.25 * f.level(1, 0).level);
 }
 
+// Found by a rule hunt: a level below 0 was sent for the first proxy of a band that joined under a cut.
+TEST(Bfair, ABandThatBeginsUnderACutGetsALegalLevel) {
+  Fleet f = running();
+  f.run(8, all_jammed, 40, 10);
+  ASSERT_LT(f.level(1, 0).level, 80);
+  f.join(3, 0, 2000);
+  f.join(4, 1, 0.01);
+  for (int i = 0; i < 10; ++i) {
+    for (const Admit& a : Fleet::only<Admit>(f.last)) ASSERT_GE(a.level, 0);
+    f.period(all_jammed, 40, 10);
+  }
+  EXPECT_GE(f.level(3, 0).level, 0);
+  EXPECT_GE(f.level(4, 0).level, 0);
+}
+
 TEST(Bfair, ShareSitesGetAShare) {
   Settings s = two_zone_settings();
   s.level_kind = LevelKind::share;
