--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -41,15 +41,14 @@
 constexpr double kNudgeLeast = 0.2, kNudgeMost = 2;   // bounds of the nudge
 constexpr double kSpillSlack = 0.1;  // a locality keeps its load up to this part over the fleet's mean
 // Health and retries.
-constexpr double kFailKeep = 0.7;    // what a period leaves of the counts of good and failed tries
-constexpr double kFailsLeast = 3;    // failed tries that are evidence at all
-constexpr double kDeadShare = 0.9;   // failing at least this share: dead or hung, however slow
-constexpr double kErrorShare = 0.3;  // failing this share more than the others, though not slow: broken
-constexpr double kCommonBad = 0.2;   // the others failing this share: a common cause, none is to blame
-constexpr double kPanic = 0.4;       // no ejection that leaves less than this part of the listed size
+constexpr double kFailKeep = 0.7;  // what a period leaves of the counts of good and failed tries
+constexpr double kFailsLeast = 3;  // failed tries that are evidence at all
+constexpr int kBarren = 2;  // periods without a good answer that make failed tries or probes a dead endpoint
+constexpr double kCommonBad = 0.2;  // the others failing this share: a common cause, none is to blame
+constexpr double kPanic = 0.4;      // no ejection that leaves less than this part of the listed size
 constexpr Duration kEjectLeast{
     3000};  // first ejection; each relapse doubles it, kEjectDoublings times at most
-constexpr int kEjectDoublings = 3, kProbesGood = 2;  // and so many answered probes in a row before the return
+constexpr int kEjectDoublings = 3, kProbes = 2;  // and so many answered probes in a row before the return
 constexpr double kLoadedSlowdown = 2;  // mean slowdown above which nothing is repeated without proof
 // Orders.
 constexpr double kMoved = 0.1;      // a weight or level is sent once it moved by over this part
@@ -75,7 +74,7 @@
   double new_good = 0, new_bad = 0;  // since the last period
   bool ejected = false, eases_in = false;
   Time until{}, returned{};
-  int ejections = 0;
+  int ejections = 0, barren = 0;  // barren: periods in a row without a good answer
   double tries() const { return good + bad; }
 };
 
@@ -87,7 +86,8 @@
   double load = 0, served = 0;  // tries and good tries a second, smoothed
   double busy = -1;             // utilization by load reports, smoothed; below 0: none yet
   double speed = 1, nudge = 1;  // what load reports and the weight step make of the listed size
-  int probes_good = 0, slow_periods = 0, silent_periods = 0;
+  int slow_periods = 0, silent_periods = 0;
+  int probes = 0;  // answered in a row; below 0: unanswered in a row
   std::map<Locality, Path> paths;
   bool open() const { return listed.state == EndpointState::in_service; }
 };
@@ -258,6 +258,7 @@
       double good = 0, bad = 0, seconds = set.period / Duration(1000);
       for (auto& [z, path] : ep.paths) {
         good += path.new_good, bad += path.new_bad;
+        path.barren = path.new_good > 0 ? 0 : path.barren + 1;
         path.good = path.good * kFailKeep + path.new_good;
         path.bad = path.bad * kFailKeep + path.new_bad;
         path.new_good = path.new_bad = 0;
@@ -413,37 +414,34 @@
 
   void judge_health(Locality from) {
     double all_bad = 0, all_tries = 0, listed = 0, healthy = 0;
+    bool reached = false;  // by probes: silence there is the endpoint's, not the way's
     for (auto& [id, ep] : endpoints) {
       if (!ep.open()) continue;
       listed += ep.listed.size;
       if (!ejected(ep, from)) healthy += ep.listed.size;
+      reached |= ep.listed.locality == from && ep.probes > 0;
       if (auto p = ep.paths.find(from); p != ep.paths.end() && !p->second.ejected)
         all_bad += p->second.bad, all_tries += p->second.tries();
     }
     for (auto& [id, ep] : endpoints) {
-      auto found = ep.paths.find(from);
-      if (!ep.open() || found == ep.paths.end()) continue;
-      Path& path = found->second;
+      if (!ep.open()) continue;
+      Path& path = ep.paths[from];
       if (path.ejected) {
-        if (now >= path.until && (!set.may_probe || ep.probes_good >= kProbesGood))
+        if (now >= path.until && (!set.may_probe || ep.probes >= kProbes))
           path = Path{.eases_in = true, .returned = now, .ejections = path.ejections};
         continue;
       }
       double others = all_tries - path.tries();
       double others_bad = others > 0 ? (all_bad - path.bad) / others : 0;
-      double share = path.tries() > 0 ? path.bad / path.tries() : 0;
-      bool dead = path.bad >= kFailsLeast && share >= kDeadShare;
-      bool errors =
-          path.bad > kFailsLeast && share > others_bad + kErrorShare &&
-          ep.latency < ep.base * threshold(ep);  // a slow one that fails is overloaded: weights, cuts
-      if (!(dead || errors) || others_bad > kCommonBad || healthy - ep.listed.size < kPanic * listed)
-        continue;
+      bool gone = reached && ep.listed.locality == from && ep.probes <= -kProbes;
+      bool dead = path.barren >= kBarren && (gone || path.bad >= kFailsLeast);
+      if (!dead || others_bad > kCommonBad || healthy - ep.listed.size < kPanic * listed) continue;
       healthy -= ep.listed.size;
       path.ejected = true;
       path.until = now + kEjectLeast * std::exp2(std::min(path.ejections++, kEjectDoublings));
-      ep.probes_good = 0;
-      out.push_back(Remark{"eject " + std::to_string(at(id)) + (dead ? ": dead" : ": errors") +
-                           ", seen from " + set.localities[at(from)]});
+      ep.probes = std::min(ep.probes, 0);
+      std::string why = gone ? ": no probe answered, seen from " : ": tries fail, seen from ";
+      out.push_back(Remark{"eject " + std::to_string(at(id)) + why + set.localities[at(from)]});
     }
   }
 
@@ -460,7 +458,8 @@
     auto found = endpoints.find(e.endpoint);
     if (found == endpoints.end()) return;
     note_load(found->second, e.load);
-    found->second.probes_good = e.outcome == Outcome::delivered ? found->second.probes_good + 1 : 0;
+    int& run = found->second.probes;
+    run = e.outcome == Outcome::delivered ? std::max(run, 0) + 1 : std::min(run, 0) - 1;
   }
 
   // ---- Slow start ----
