--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -377,7 +377,8 @@
     std::vector<double> fair = max_min_shares(capacity, demand);
     // Exception: endpoints far slower than the rest are drained by their weights; to cut whole classes for
     // them would refuse work that the others can do. Cuts wait until most of the load meets queueing.
-    bool common = mean_of(&State::headroom, 0) < kRoomLeast;
+    bool common = mean_of(&State::headroom, 0) < kRoomLeast &&
+                  mean_of(&State::slowdown, 1) > mean_of(&State::threshold, 1);
     bool cut = slowest->slow_periods >= kCutWait && common && now >= next_cut;
     // A cut shows only in tries that start after it, which end a latency later: the next one waits so long.
     if (cut) next_cut = now + set.push_delay_most + set.period * kCutWait + Duration(slowest->latency);
