--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -39,7 +39,7 @@
 constexpr double kWeightGain = 0.3;                   // exponent of the weight step
 constexpr double kNudgeKeep = 0.8;                    // what a step leaves of the nudge's exponent
 constexpr double kNudgeLeast = 0.2, kNudgeMost = 2;   // bounds of the nudge
-constexpr double kSpillSlack = 0.1;  // a locality keeps its load up to this part over the fleet's mean
+constexpr double kSpillSlack = 0.0;  // a locality keeps its load up to this part over the fleet's mean
 // Health and retries.
 constexpr double kFailKeep = 0.7;  // what a period leaves of the counts of good and failed tries
 constexpr double kFailsLeast = 3;  // failed tries that are evidence at all
@@ -478,10 +478,9 @@
     if (!ep.open() || ejected(ep, from)) return 0;
     auto p = ep.paths.find(from);
     double r = ramp(ep, p == ep.paths.end() ? nullptr : &p->second);
-    if (r >= 1) return ep.listed.size * ep.speed * ep.nudge;
     // Rule 4 in a jam: the fleet's overload, repeats and all, would come to a cold endpoint as well. It waits
     // until the others no longer fail or nothing else is left; a controller just started knows no calm yet.
-    return fleet_fails > kCommonBad ? 0 : ep.listed.size * ep.speed * r * std::min(1.0, ep.nudge);
+    return r < 1 && fleet_fails > kCommonBad ? 0 : ep.listed.size * ep.speed * r;
   }
 
   // ---- Tables ----
@@ -490,7 +489,8 @@
     std::size_t zones = set.localities.size(), here = at(own);
     std::vector<double> strong(zones, 0), spare(zones, 0), factor(zones, 0);  // factor: weight of a strength
     double all_strong = 0, all_load = 0, all_spare = 0, fleet_fails = mean_of(&State::fail_share, 1);
-    for (const auto& [id, ep] : endpoints) strong[at(ep.listed.locality)] += strength(ep, own, fleet_fails);
+    for (const auto& [id, ep] : endpoints)
+      strong[at(ep.listed.locality)] += strength(ep, own, fleet_fails) * std::sqrt(ep.nudge);
     for (std::size_t z = 0; z < zones; ++z) {
       spare[z] = -locality_load(Locality(z), true) - locality_load(Locality(z), false);
       all_strong += strong[z], all_load -= spare[z];
@@ -509,7 +509,8 @@
           factor[z] = over * spare[z] / all_spare / strong[z] * strong[here] / (load - over);
     std::map<EndpointId, double> lines;
     for (const auto& [id, ep] : endpoints)
-      if (double w = strength(ep, own, fleet_fails) * factor[at(ep.listed.locality)]; w > 0) lines[id] = w;
+      if (double w = strength(ep, own, fleet_fails) * factor[at(ep.listed.locality)]; w > 0)
+        lines[id] = w * (ramp(ep, nullptr) < 1 ? std::min(1.0, ep.nudge) : ep.nudge);
     if (lines.empty())  // rule 1: rather a suspect or cold endpoint than none
       for (const auto& [id, ep] : endpoints)
         if (ep.open() && (!home || ep.listed.locality == own)) lines[id] = ep.listed.size * ramp(ep, nullptr);
