--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -15,19 +15,19 @@
 
 // ---- Constants: unit, reason ----
 // BFAIR step.
-constexpr Duration kStep{1000};             // BFAIR and weight step: once a second, as in the paper
-constexpr double kSmoothing = 0.5;          // weight of a period's sample in smoothed estimates
-constexpr double kBaseSmoothing = 0.1;      // the same for the baseline: the lowest of a short mean is noise
-constexpr double kBaseTries = 20;           // answered tries before a baseline is taken
-constexpr double kBaseMost = 0.5;           // of the tightest SLO: a higher baseline was taken in a jam
-constexpr double kTLeast = 2, kTMost = 10;  // bounds of T, the slowdown that makes a bottleneck
-constexpr double kTSloPart = 0.3;           // T: queueing takes this part of the tightest SLO
-constexpr double kAlpha = 0.1;              // part of the bottleneck's demand that a cut takes away
-constexpr double kBeta = 0.05;              // growth of a rate that isn't cut, each step
-constexpr double kBetaFree = 0.3;           // and so much more where all of the fleet's room is free
-constexpr double kRateOverUse = 2;          // a rate grows only while under this multiple of its throughput
-constexpr int kCutWait = 3;                 // periods above T before a cut
-constexpr int kUnheard = 4;                 // periods without a try that ended: the endpoint has no say
+constexpr Duration kStep{1000};          // BFAIR and weight step: once a second, as in the paper
+constexpr double kSmoothing = 0.5;       // weight of a period's sample in smoothed estimates
+constexpr double kBaseSmoothing = 0.05;  // the same for the baseline: the lowest of a short mean is noise
+constexpr double kBaseTries = 20;        // answered tries before a baseline is taken
+constexpr double kBaseMost = 0.5;        // of the tightest SLO: a higher baseline was taken in a jam
+constexpr double kTMost = 10;            // T, the slowdown that makes a bottleneck, at most
+constexpr double kTSloPart = 0.3;        // T: queueing takes this part of the tightest SLO
+constexpr double kAlpha = 0.1;           // part of the bottleneck's demand that a cut takes away
+constexpr double kBeta = 0.05;           // growth of a rate that isn't cut, each step
+constexpr double kBetaFree = 0.3;        // and so much more where all of the fleet's room is free
+constexpr double kRateOverUse = 2;       // a rate grows only while under this multiple of its throughput
+constexpr int kCutWait = 3;              // periods above T before a cut
+constexpr int kUnheard = 4;              // periods without a try that ended: the endpoint has no say
 constexpr double kRoomLeast = 0.15;  // a fleet with more free room than this needs better weights, not cuts
 constexpr double kAnsweredLeast = 0.5;  // a cut trusts no smaller answered part: what fails fast fails often
 constexpr double kNoLimit = std::numeric_limits<double>::infinity();  // the rate of a class never cut
@@ -336,8 +336,7 @@
   }
 
   double threshold(const Endpoint& ep) const {  // T, by the SLO and the endpoint's own baseline
-    return ep.base <= 0 ? kTMost
-                        : std::clamp(1 + kTSloPart * tightest_slo.count() / ep.base, kTLeast, kTMost);
+    return ep.base <= 0 ? kTMost : std::min(1 + kTSloPart * tightest_slo.count() / ep.base, kTMost);
   }
 
   // The part of an endpoint's room that is free: by load reports, else by how far its queueing is from T's.
