Load reports age out, so that speeds don't collapse behind a cut

Cause: across a zone cut the last utilization stayed while the load heard of faded; the cut zone's speeds fell to a tenth and stayed low after the cut. Test: Weights.AnOldLoadReportSaysNothingOfSpeed, which fails without the fix.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -15,19 +15,19 @@
 
 // ---- Constants: unit, reason ----
 // BFAIR step.
-constexpr Duration kStep{1000};          // BFAIR and weight step: once a second, as in the paper
-constexpr double kSmoothing = 0.5;       // weight of a period's sample in smoothed estimates
-constexpr double kBaseSmoothing = 0.05;  // the same for the baseline: the lowest of a short mean is noise
-constexpr double kBaseTries = 20;        // answered tries before a baseline is taken
-constexpr double kBaseMost = 0.5;        // of the tightest SLO: a higher baseline was taken in a jam
-constexpr double kTMost = 10;            // T, the slowdown that makes a bottleneck, at most
-constexpr double kTSloPart = 0.3;        // T: queueing takes this part of the tightest SLO
-constexpr double kAlpha = 0.1;           // part of the bottleneck's demand that a cut takes away
-constexpr double kBeta = 0.05;           // growth of a rate that isn't cut, each step
-constexpr double kBetaFree = 0.3;        // and so much more where all of the fleet's room is free
-constexpr double kRateOverUse = 2;       // a rate grows only while under this multiple of its throughput
-constexpr int kCutWait = 3;              // periods above T before a cut
-constexpr int kUnheard = 4;              // periods without a try that ended: the endpoint has no say
+constexpr Duration kStep{1000};              // BFAIR and weight step: once a second, as in the paper
+constexpr double kSmoothing = 0.5;           // weight of a period's sample in smoothed estimates
+constexpr double kBaseSmoothing = 0.05;      // the same for the baseline: the lowest of a short mean is noise
+constexpr double kBaseTries = 20;            // answered tries before a baseline is taken
+constexpr double kBaseMost = 0.5;            // of the tightest SLO: a higher baseline was taken in a jam
+constexpr double kTMost = 10;                // T, the slowdown that makes a bottleneck, at most
+constexpr double kTSloPart = 0.3;            // T: queueing takes this part of the tightest SLO
+constexpr double kAlpha = 0.1;               // part of the bottleneck's demand that a cut takes away
+constexpr double kBeta = 0.05;               // growth of a rate that isn't cut, each step
+constexpr double kBetaFree = 0.3;            // and so much more where all of the fleet's room is free
+constexpr double kRateOverUse = 2;           // a rate grows only while under this multiple of its throughput
+constexpr int kCutWait = 3;                  // periods above T before a cut
+constexpr int kUnheard = 4, kReportAge = 8;  // periods without an ended try, a load report: no say
 constexpr double kRoomLeast = 0.15;  // a fleet with more free room than this needs better weights, not cuts
 constexpr double kAnsweredLeast = 0.5;  // a cut trusts no smaller answered part: what fails fast fails often
 constexpr double kNoLimit = std::numeric_limits<double>::infinity();  // the rate of a class never cut
@@ -38,7 +38,7 @@
 constexpr double kDeadBand = 0.25;                    // slowdowns this near to the mean leave a weight alone
 constexpr double kWeightGain = 0.3;                   // exponent of the weight step
 constexpr double kNudgeKeep = 0.8;                    // what a step leaves of the nudge's exponent
-constexpr double kNudgeLeast = 0.2, kNudgeMost = 2;   // bounds of the nudge
+constexpr double kNudgeMin = 0.2, kNudgeMax = 2;      // bounds of the nudge
 constexpr double kSpillSlack = 0.0;  // a locality keeps its load up to this part over the fleet's mean
 // Health and retries.
 constexpr double kFailKeep = 0.7;  // what a period leaves of the counts of good and failed tries
@@ -51,12 +51,11 @@
 constexpr int kEjectDoublings = 3, kProbes = 2;  // and so many answered probes in a row before the return
 constexpr double kLoadedSlowdown = 2;  // mean slowdown above which nothing is repeated without proof
 // Orders.
-constexpr double kMoved = 0.1;      // a weight or level is sent once it moved by over this part
-constexpr double kBandRatio = 4;    // usual rates within one band differ by at most this
-constexpr double kOpenRate = 1e6;   // requests/s: a level that binds nobody
-constexpr double kQueuePart = 0.4;  // of the channel's queue: what ordinary orders may fill
-constexpr double kPushPart = 0.6;   // of the messages allowed: what ordinary orders may use
-constexpr double kAskPart = 0.8;    // of must_ask_in: a quiet subscription is renewed then
+constexpr double kMoved = 0.1;     // a weight or level is sent once it moved by over this part
+constexpr double kBandRatio = 4;   // usual rates within one band differ by at most this
+constexpr double kOpenRate = 1e6;  // requests/s: a level that binds nobody
+constexpr double kQueuePart = 0.4, kPushPart = 0.6;  // of queue and messages allowed: for ordinary orders
+constexpr double kAskPart = 0.8;                     // of must_ask_in: a quiet subscription is renewed then
 constexpr std::uint32_t kSerials = 65536;
 
 template <typename Id>
@@ -86,7 +85,7 @@
   double load = 0, served = 0;  // tries and good tries a second, smoothed
   double busy = -1;             // utilization by load reports, smoothed; below 0: none yet
   double speed = 1, nudge = 1;  // what load reports and the weight step make of the listed size
-  int slow_periods = 0, silent_periods = 0;
+  int slow_periods = 0, silent_periods = 0, report_age = 0;  // in periods
   int probes = 0;  // answered in a row; below 0: unanswered in a row
   std::map<Locality, Path> paths;
   bool open() const { return listed.state == EndpointState::in_service; }
@@ -250,7 +249,7 @@
 
   void note_load(Endpoint& ep, const LoadReport& load) {
     if (auto u = load.find("utilization"); u != load.end())
-      smooth(ep.busy, std::clamp(u->second, 0.0, 1.0), kSmoothing, ep.busy < 0);
+      smooth(ep.busy, std::clamp(u->second, 0.0, 1.0), kSmoothing, ep.busy < 0), ep.report_age = 0;
   }
 
   void close_period() {
@@ -266,6 +265,7 @@
       smooth(ep.load, (good + bad) / seconds, kSmoothing);
       smooth(ep.served, good / seconds, kSmoothing);
       ep.silent_periods = good + bad > 0 ? 0 : ep.silent_periods + 1;
+      if (++ep.report_age > kReportAge) ep.busy = -1;  // else, across a cut, its speed would seem to fade
       if (ep.latency_count > 0) {
         double sample = ep.latency_sum / ep.latency_count;
         smooth(ep.latency, sample, kSmoothing, ep.answered == 0);
@@ -401,8 +401,8 @@
       if (off < 1 + kDeadBand && off > 1 / (1 + kDeadBand)) off = 1;
       // The nudge fades: a baseline that chance set low makes an endpoint look slow for good, and a step that
       // only adds up would drain it.
-      ep.nudge = std::pow(ep.nudge, kNudgeKeep) * std::pow(off, -kWeightGain);
-      ep.nudge = std::clamp(ep.nudge, kNudgeLeast, kNudgeMost);
+      ep.nudge =
+          std::clamp(std::pow(ep.nudge, kNudgeKeep) * std::pow(off, -kWeightGain), kNudgeMin, kNudgeMax);
     }
   }
 
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -319,6 +319,23 @@
   EXPECT_LT(f.line(1, 0, 11), 0.7 * f.line(1, 0, 12));
 }
 
+// Behind a cut the last report stays while the load heard of fades: that is no loss of speed.
+TEST(Weights, AnOldLoadReportSaysNothingOfSpeed) {
+  Fleet f = running();
+  auto reporting = [](const ListedEndpoint& e) {
+    EndpointHeard h = heard(e, 20, 0, 100);
+    h.load = {{"utilization", 0.5}};
+    return vector{h};
+  };
+  f.run(20, reporting);
+  f.run(40, [&](const ListedEndpoint& e) {
+    if (e.id == EndpointId(11))
+      return vector{heard(e, 1, 0, 100)};  // next to nothing comes through, no report
+    return reporting(e);
+  });
+  EXPECT_GT(f.line(1, 0, 11), 0.6 * f.line(1, 0, 12));
+}
+
 // ---- Health ----
 auto server_fails = [](const ListedEndpoint& e) {
   return vector{heard(e, 10, e.id == EndpointId(11) ? 10 : 0, 100)};
