A moved slice repeats nothing without proof, whatever retry mode is usual

Found by reading: the level that reopens a single-writer slice carried the site's usual retry mode to all classes, fragile ones too. Test: Slices.AMovedSliceRepeatsNothingWithoutProof.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -15,10 +15,9 @@
 
 // ---- Constants: unit, reason ----
 // BFAIR step.
-constexpr Duration kStep{1000};              // BFAIR and weight step: once a second, as in the paper
-constexpr double kSmoothing = 0.5;           // weight of a period's sample in smoothed estimates
-constexpr double kBaseSmoothing = 0.05;      // the same for the baseline: the lowest of a short mean is noise
-constexpr double kBaseTries = 20;            // answered tries before a baseline is taken
+constexpr Duration kStep{1000};  // BFAIR and weight step: once a second, as in the paper
+constexpr double kSmoothing = 0.5, kBaseSmoothing = 0.05;  // weight of a period's sample; for the baseline
+constexpr double kBaseTries = 20;                          // answered tries before a baseline is taken
 constexpr double kBaseMost = 0.5;            // of the tightest SLO: a higher baseline was taken in a jam
 constexpr double kTMost = 10;                // T, the slowdown that makes a bottleneck, at most
 constexpr double kTSloPart = 0.3;            // T: queueing takes this part of the tightest SLO
@@ -156,6 +155,7 @@
 
   explicit State(Settings s) : set(std::move(s)), rates(set.classes.size(), kNoLimit) {
     for (const RequestClass& c : set.classes) tightest_slo = std::min(tightest_slo, c.slo);
+    set.default_retry = std::min(set.default_retry, RetryMode::after_proof);  // rule 2: what we order is ours
   }
 
   // ---- The list ----
@@ -375,7 +375,7 @@
     for (double d : demand) capacity += (1 - kAlpha) * d * answered;
     std::vector<double> fair = max_min_shares(capacity, demand);
     // Exception: endpoints far slower than the rest are drained by their weights; to cut whole classes for
-    // them would refuse work that the others can do. Cuts wait until most of the load meets queueing.
+    // them would refuse work that the others can do. Cuts wait until the fleet is full and slow as a whole.
     bool common = mean_of(&State::headroom, 0) < kRoomLeast &&
                   mean_of(&State::slowdown, 1) > mean_of(&State::threshold, 1);
     bool cut = slowest->slow_periods >= kCutWait && common && now >= next_cut;
@@ -522,7 +522,7 @@
     if (mean_of(&State::fail_share, 0) > kCommonBad) return RetryMode::never;
     // Just (re)started, into whatever jam there is: no more than is usual, and nothing without proof.
     double slow = mean_of(&State::slowdown, 0);
-    if (slow == 0) return std::min(set.default_retry, RetryMode::after_proof);
+    if (slow == 0) return set.default_retry;
     bool loaded = slow > kLoadedSlowdown;
     for (double r : rates) loaded |= r < kNoLimit;
     // Rule 2: only what is safe anywhere is repeated without proof that the first try never ran; tables span
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -642,6 +642,21 @@
   EXPECT_GT(Fleet::only<Admit>(f.last)[0].level, 0);
 }
 
+// A slice that opens again after its move must not order repeats that its classes can't bear, whatever is usual.
+TEST(Slices, AMovedSliceRepeatsNothingWithoutProof) {
+  Settings s = slice_settings(true);
+  s.default_retry = RetryMode::twice;
+  Fleet f(s);
+  f.start(kFour);
+  f.send({SliceGiven{TableId(3), true}});
+  for (int i = 0; i < 60; ++i) {
+    f.now += s.period;
+    f.send({TimerFired{}});
+  }
+  EXPECT_GT(f.level_of(TableId(3), 1).level, 0);
+  EXPECT_LE(f.level_of(TableId(3), 1).retry, RetryMode::after_proof);
+}
+
 TEST(Slices, ColdEndpointsServeWhenAllAreCold) {
   Fleet f(slice_settings(false));
   vector<ListedEndpoint> entries = kFour;
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -89,7 +89,8 @@
     auto it = table.find(EndpointId(endpoint_id));
     return it == table.end() ? 0 : it->second;
   }
-  Admit level(unsigned proxy, unsigned cls) { return levels.at({bound.at({proxy, cls}), cls}); }
+  Admit level(unsigned proxy, unsigned cls) { return level_of(bound.at({proxy, cls}), cls); }
+  Admit level_of(TableId table, unsigned cls) { return levels.at({table, cls}); }
 
   template <typename Kind>
   static vector<Kind> only(const vector<Action>& actions) {
