--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -642,7 +642,7 @@
   EXPECT_GT(Fleet::only<Admit>(f.last)[0].level, 0);
 }
 
-// A slice that opens again after its move must not order repeats that its classes can't bear, whatever is usual.
+// A slice that opens again must not order repeats that its classes can't bear, whatever is usual.
 TEST(Slices, AMovedSliceRepeatsNothingWithoutProof) {
   Settings s = slice_settings(true);
   s.default_retry = RetryMode::twice;
