--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -29,6 +29,7 @@
 constexpr int kUnheard = 4, kReportAge = 8;  // periods without an ended try, a load report: no say
 constexpr double kRoomLeast = 0.15;  // a fleet with more free room than this needs better weights, not cuts
 constexpr double kAnsweredLeast = 0.5;  // a cut trusts no smaller answered part: what fails fast fails often
+constexpr double kAnsweredSlow = 0.2;   // slowdown counts no smaller answered part, for the same reason
 constexpr double kNoLimit = std::numeric_limits<double>::infinity();  // the rate of a class never cut
 // Weights.
 constexpr double kBusyLeast = 0.1, kBusyFull = 0.85;  // utilization that tells a speed; that leaves no core
@@ -38,7 +39,6 @@
 constexpr double kWeightGain = 0.3;                   // exponent of the weight step
 constexpr double kNudgeKeep = 0.8;                    // what a step leaves of the nudge's exponent
 constexpr double kNudgeMin = 0.2, kNudgeMax = 2;      // bounds of the nudge
-constexpr double kSpillSlack = 0.0;  // a locality keeps its load up to this part over the fleet's mean
 // Health and retries.
 constexpr double kFailKeep = 0.7;  // what a period leaves of the counts of good and failed tries
 constexpr double kFailsLeast = 3;  // failed tries that are evidence at all
@@ -203,10 +203,10 @@
   void on(const ProxyLeft& e) { proxies.erase(e.proxy); }
 
   std::vector<std::pair<ProxyId, Proxy*>> members(const GroupKey& key) {
-    std::vector<std::pair<ProxyId, Proxy*>> out_members;
+    std::vector<std::pair<ProxyId, Proxy*>> found;
     for (auto& [id, p] : proxies)
-      if (p.group == key && p.bound) out_members.emplace_back(id, &p);
-    return out_members;
+      if (p.group == key && p.bound) found.emplace_back(id, &p);
+    return found;
   }
 
   // Once a stream, after all else of the batch: what the proxy holds is unknown, a full bind settles it.
@@ -332,7 +332,7 @@
   // Latency over the lowest seen. Failed tries count as so much more waiting, lest an endpoint that turns
   // work away or answers errors quickly look fast and idle.
   double slowdown(const Endpoint& ep) const {
-    return ep.base <= 0 ? 1 : ep.latency / ep.base / std::max(0.2, 1 - fail_share(ep));
+    return ep.base <= 0 ? 1 : ep.latency / ep.base / std::max(kAnsweredSlow, 1 - fail_share(ep));
   }
 
   double threshold(const Endpoint& ep) const {  // T, by the SLO and the endpoint's own baseline
@@ -376,8 +376,8 @@
     std::vector<double> fair = max_min_shares(capacity, demand);
     // Exception: endpoints far slower than the rest are drained by their weights; to cut whole classes for
     // them would refuse work that the others can do. Cuts wait until the fleet is full and slow as a whole.
-    bool common = mean_of(&State::headroom, 0) < kRoomLeast &&
-                  mean_of(&State::slowdown, 1) > mean_of(&State::threshold, 1);
+    double room = mean_of(&State::headroom, 0);
+    bool common = room < kRoomLeast && mean_of(&State::slowdown, 1) > mean_of(&State::threshold, 1);
     bool cut = slowest->slow_periods >= kCutWait && common && now >= next_cut;
     // A cut shows only in tries that start after it, which end a latency later: the next one waits so long.
     if (cut) next_cut = now + set.push_delay_most + set.period * kCutWait + Duration(slowest->latency);
@@ -387,7 +387,7 @@
       if (cut && fair[c] < demand[c]) {
         rate = std::min(rate, used) * fair[c] / demand[c];
       } else if (rate < kNoLimit && !(common && slowest->slow_periods > 0)) {
-        if (rate < kRateOverUse * used) rate *= 1 + kBeta + kBetaFree * mean_of(&State::headroom, 0);
+        if (rate < kRateOverUse * used) rate *= 1 + kBeta + kBetaFree * room;
         else rate = kNoLimit;  // binds nobody any more
       }
     }
@@ -500,7 +500,7 @@
       all_spare += spare[z];
     }
     factor[here] = 1;
-    double over = std::min(load - strong[here] * mean * (1 + kSpillSlack), locality_load(own, false));
+    double over = std::min(load - strong[here] * mean, locality_load(own, false));
     if (!home && strong[here] <= 0) std::fill(factor.begin(), factor.end(), 1);
     else if (!home && over > 0 && all_spare > 0 && load > over)
       for (std::size_t z = 0; z < zones; ++z)
@@ -531,10 +531,11 @@
   }
 
   // ---- Levels ----
+  double open_level() const { return set.level_kind == LevelKind::rate ? kOpenRate : 1; }
+
   double wanted_level(const GroupKey& key, std::size_t c) const {
-    double open = set.level_kind == LevelKind::rate ? kOpenRate : 1;
-    if (set.level_kind == LevelKind::none) return open;
-    return std::min({open, shared_level(key, c), cold_level(key, set.classes[c].home_only)});
+    if (set.level_kind == LevelKind::none) return open_level();
+    return std::min({open_level(), shared_level(key, c), cold_level(key, set.classes[c].home_only)});
   }
 
   // The class's rate, split over bands by throughput and within the band max-min to a rate at each proxy.
@@ -686,8 +687,8 @@
       slice.lines[best] = 1;
       weigh(best);
       out.push_back(SetLine{t, best, 1});
-      double open = set.level_kind == LevelKind::rate ? kOpenRate : 1;
-      if (std::exchange(slice.stopped, false)) out.push_back(Admit{t, false, 0, open, set.default_retry});
+      if (std::exchange(slice.stopped, false))
+        out.push_back(Admit{t, false, 0, open_level(), set.default_retry});
     }
   }
 
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <numeric>
 #include <random>
-#include <sstream>
 
 #include "codec.h"
 #include "fleet.h"
@@ -26,6 +25,17 @@
   return f;
 }
 
+// Two of three equal proxies are in the east: its load is over the mean and spills to the west.
+Fleet crowded_east() {
+  Fleet f(two_zone_settings());
+  f.start(kFour);
+  f.join(1, 0, 20);
+  f.join(2, 0, 20);
+  f.join(3, 1, 20);
+  f.run(12, all_fine);
+  return f;
+}
+
 // ---- Max-min fairness ----
 TEST(MaxMin, GivesTheSmallWhatTheyAskAndSplitsTheRest) {
   EXPECT_EQ(max_min_shares(10, {2, 8, 10}), (vector<double>{2, 4, 4}));
@@ -183,12 +193,7 @@
 }
 
 TEST(Binding, AnOverloadedLocalityReachesAcross) {
-  Fleet f(two_zone_settings());
-  f.start(kFour);
-  f.join(1, 0, 20);
-  f.join(2, 0, 20);
-  f.join(3, 1, 20);
-  f.run(12, all_fine);
+  Fleet f = crowded_east();
   EXPECT_GT(f.line(1, 0, 21), 0);
   EXPECT_LT(f.line(1, 0, 21), f.line(1, 0, 11));
   EXPECT_EQ(f.line(3, 0, 11), 0);
@@ -412,11 +417,7 @@
 }
 
 TEST(Health, APathFaultEjectsForItsOwnSideOnly) {
-  Fleet f(two_zone_settings());
-  f.start(kFour);
-  f.join(1, 0, 20);
-  f.join(2, 0, 20);
-  f.join(3, 1, 20);
+  Fleet f = crowded_east();
   auto cut_between = [](const ListedEndpoint& e) {
     vector<EndpointHeard> h = {heard(e, 40, 0, 100)};
     if (e.id == EndpointId(21)) {  // the east's proxies fail there, the west's do not
@@ -425,7 +426,6 @@
     }
     return h;
   };
-  f.run(12, all_fine);
   ASSERT_GT(f.line(1, 0, 21), 0);
   f.run(6, cut_between);
   EXPECT_EQ(f.line(1, 0, 21), 0);
