--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -296,9 +296,9 @@
     }
   }
 
-  // Requests a second of a class that a proxy lets in: what comes, a known limit permitting.
+  // Requests a second of a class that a proxy lets in; unheard, as announced: as idle it would not spill.
   double admitted(const Proxy& p, std::size_t c) const {
-    double came = std::max(0.0, p.came[c]);
+    double came = p.came[c] >= 0 ? p.came[c] : p.usual / static_cast<double>(p.came.size());
     auto group = groups.find(p.group);
     if (set.level_kind != LevelKind::rate || group == groups.end() || group->second.levels.empty())
       return came;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -199,6 +199,15 @@
   EXPECT_EQ(f.line(3, 0, 11), 0);
 }
 
+// Found on a drawn day: proxies that rejoin after a cut counted as idle until their first report, so all they
+// brought stayed at home, on endpoints that had just started cold.
+TEST(Binding, AProxyNotHeardOfYetCountsByItsAnnouncedRate) {
+  Fleet f(two_zone_settings());
+  f.start(kFour);
+  f.send({ProxyJoined{ProxyId(1), Locality(0), 200, true}, ProxyJoined{ProxyId(2), Locality(1), 20, true}});
+  EXPECT_GT(f.line(1, 0, 21), 0);
+}
+
 // ---- The BFAIR step ----
 TEST(Bfair, AClassNeverCutCarriesNoBindingLimit) {
   Fleet f = running();
