--- a/adapter/settings.cpp
+++ b/adapter/settings.cpp
@@ -108,6 +108,7 @@
   s.seed = seed;
   names.localities = p.list("azs");
   s.localities = names.localities;
+  s.local_proxies_only = p.count("balancers", kMostPushes) > 1 && p.flag_or("family_info.by_zone", false);
   s.home = locality(names, p.text("locality"));
   std::uint64_t classes = p.count("classes.count", kMostClasses);
   std::vector<std::string> home_only;
@@ -133,6 +134,8 @@
   s.envelope_lines = p.number("family_info.envelope");
   s.most_waiting_lines = p.number("family_info.most_waiting");
   s.pushes_allowed = static_cast<int>(p.count("family_info.pushes_allowed", kMostPushes));
+  s.proxies = static_cast<int>(p.count("family_info.agents", kMostPushes));
+  s.conn_idle = p.duration("limits.conn_idle");
   s.pushes_span = p.duration("family_info.messages_over");
   s.push_delay = p.duration("family_info.push_delay");
   s.push_delay_most = p.duration("family_info.late_most");
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -4,168 +4,109 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <limits>
 #include <numeric>
 #include <set>
 #include <utility>
 
+#include "channel.h"
+#include "fairness.h"
+#include "state.h"
+
 namespace beamshunt {
 namespace {
 
 // ---- Constants: unit, reason ----
-// BFAIR step.
-constexpr Duration kStep{1000};  // BFAIR and weight step: once a second, as in the paper
-constexpr double kSmoothing = 0.5, kBaseSmoothing = 0.05;  // weight of a period's sample; for the baseline
-constexpr double kBaseTries = 20;                          // answered tries before a baseline is taken
+constexpr Duration kStep{1000};     // BFAIR and weight step: once a second, as in the paper
+constexpr double kSmoothing = 0.5;  // weight of a period's sample
+constexpr double kLatencyTries = 8, kSteadyTries = 100;  // tries that weigh as much as all known before
+constexpr double kGapSmoothing = 0.02;       // weight of one line's span in the time between reports
+constexpr double kBaseTries = 20;            // answered tries before a baseline is taken
 constexpr double kBaseMost = 0.5;            // of the tightest SLO: a higher baseline was taken in a jam
-constexpr double kTMost = 10;                // T, the slowdown that makes a bottleneck, at most
-constexpr double kTSloPart = 0.3;            // T: queueing takes this part of the tightest SLO
-constexpr double kAlpha = 0.1;               // part of the bottleneck's demand that a cut takes away
-constexpr double kBeta = 0.05;               // growth of a rate that isn't cut, each step
-constexpr double kBetaFree = 0.3;            // and so much more where all of the fleet's room is free
-constexpr double kRateOverUse = 2;           // a rate grows only while under this multiple of its throughput
-constexpr int kCutWait = 3;                  // periods above T before a cut
-constexpr int kUnheard = 4, kReportAge = 8;  // periods without an ended try, a load report: no say
+constexpr int kUnheard = 4, kReportAge = 8;  // gaps without an ended try, periods without a report: no say
+constexpr double kAnsweredSlow = 0.2;  // slowdown counts no smaller answered part: what fails fast looks fast
+constexpr double kBusyLeast = 0.1, kBusyFull = 0.85;  // utilization that tells a speed; that leaves no core
+constexpr double kSpeedSmoothing = 0.15;              // weight of a step's speed sample: noisy and late
+constexpr double kSpeedLeast = 0.1, kSpeedMost = 4;   // bounds of what reports make of a listed size
+// BFAIR step.
+constexpr double kTSloPart = 0.3;    // T: queueing takes this part of the tightest SLO
+constexpr double kAlpha = 0.1;       // part of the bottleneck's demand that a cut takes away
+constexpr double kBeta = 0.05;       // growth of a rate that isn't cut, each step
+constexpr double kBetaFree = 0.3;    // and so much more where all of the fleet's room is free
+constexpr double kRateOverUse = 2;   // a rate grows only while under this multiple of its throughput
+constexpr int kCutWait = 3;          // periods above T before a cut
 constexpr double kRoomLeast = 0.15;  // a fleet with more free room than this needs better weights, not cuts
 constexpr double kAnsweredLeast = 0.5;  // a cut trusts no smaller answered part: what fails fast fails often
-constexpr double kAnsweredSlow = 0.2;   // slowdown counts no smaller answered part, for the same reason
 constexpr double kNoLimit = std::numeric_limits<double>::infinity();  // the rate of a class never cut
 // Weights.
-constexpr double kBusyLeast = 0.1, kBusyFull = 0.85;  // utilization that tells a speed; that leaves no core
-constexpr double kSpeedSmoothing = 0.15;              // weight of a step's speed sample: noisy and late
-constexpr double kSpeedLeast = 0.1, kSpeedMost = 4;   // bounds of what reports make of a listed size
-constexpr double kDeadBand = 0.25;                    // slowdowns this near to the mean leave a weight alone
-constexpr double kWeightGain = 0.3;                   // exponent of the weight step
-constexpr double kNudgeKeep = 0.8;                    // what a step leaves of the nudge's exponent
-constexpr double kNudgeMin = 0.2, kNudgeMax = 2;      // bounds of the nudge
+constexpr double kDeadBand = 0.25;                // slowdowns this near to the mean leave a weight alone
+constexpr double kWeightGain = 0.3;               // exponent of the weight step
+constexpr double kNudgeKeep = 0.8;                // what a step leaves of the nudge's exponent
+constexpr double kNudgeMin = 0.2, kNudgeMax = 2;  // bounds of the nudge
+constexpr double kSpillFrom = 0.7;  // utilization over kBusyFull: nothing leaves a locality below it
+constexpr double kSpillGain = 0.7, kStayLeast = 0.2;  // exponent of the spill step; what stays at the least
 // Health and retries.
 constexpr double kFailKeep = 0.7;  // what a period leaves of the counts of good and failed tries
 constexpr double kFailsLeast = 3;  // failed tries that are evidence at all
 constexpr int kBarren = 2;  // periods without a good answer that make failed tries or probes a dead endpoint
-constexpr double kCommonBad = 0.2;  // the others failing this share: a common cause, none is to blame
-constexpr double kPanic = 0.4;      // no ejection that leaves less than this part of the listed size
-constexpr Duration kEjectLeast{
-    3000};  // first ejection; each relapse doubles it, kEjectDoublings times at most
+constexpr double kCommonBad = 0.2;     // the others failing this share: a common cause, none is to blame
+constexpr double kPanic = 0.4;         // no ejection that leaves less than this part of the listed size
+constexpr Duration kEjectLeast{3000};  // first ejection; each relapse doubles it, so many times at most:
 constexpr int kEjectDoublings = 3, kProbes = 2;  // and so many answered probes in a row before the return
 constexpr double kLoadedSlowdown = 2;  // mean slowdown above which nothing is repeated without proof
-// Orders.
-constexpr double kMoved = 0.1;     // a weight or level is sent once it moved by over this part
-constexpr double kBandRatio = 4;   // usual rates within one band differ by at most this
-constexpr double kOpenRate = 1e6;  // requests/s: a level that binds nobody
-constexpr double kQueuePart = 0.4, kPushPart = 0.6;  // of queue and messages allowed: for ordinary orders
-constexpr double kAskPart = 0.8;                     // of must_ask_in: a quiet subscription is renewed then
-constexpr std::uint32_t kSerials = 65536;
-
-template <typename Id>
-std::size_t at(Id id) {
-  return static_cast<std::size_t>(id);
-}
-void smooth(double& value, double sample, double weight, bool first = false) {
-  value = first ? sample : value + weight * (sample - value);
-}
-
-// What one locality's proxies met at one endpoint. Health is kept by path: a cut between localities shows
-// dead endpoints to one side only; a dead endpoint fails for its own locality too.
-struct Path {
-  double good = 0, bad = 0;          // tries, fading by kFailKeep each period
-  double new_good = 0, new_bad = 0;  // since the last period
-  bool ejected = false, eases_in = false;
-  Time until{}, returned{};
-  int ejections = 0, barren = 0;  // barren: periods in a row without a good answer
-  double tries() const { return good + bad; }
-};
-
-struct Endpoint {
-  ListedEndpoint listed;
-  double latency = 0, steady = 0, base = 0;  // smoothed, smoothed longer, and the lowest of that (ms)
-  double answered = 0;                       // tries that a latency is known of
-  double latency_sum = 0, latency_count = 0;
-  double load = 0, served = 0;  // tries and good tries a second, smoothed
-  double busy = -1;             // utilization by load reports, smoothed; below 0: none yet
-  double speed = 1, nudge = 1;  // what load reports and the weight step make of the listed size
-  int slow_periods = 0, silent_periods = 0, report_age = 0;  // in periods
-  int probes = 0;  // answered in a row; below 0: unanswered in a row
-  std::map<Locality, Path> paths;
-  bool open() const { return listed.state == EndpointState::in_service; }
-};
-
-struct GroupKey {  // proxies that share tables: by locality and throughput band
-  Locality locality{};
-  int band = 0;
-  auto operator<=>(const GroupKey&) const = default;
-};
-
-struct Proxy {
-  GroupKey group;
-  bool bound = false;
-  double usual = 0;
-  std::vector<double> came;  // requests a second by class, smoothed; below 0: not heard of
-  std::deque<std::pair<std::uint32_t, double>> unacked;  // serial and lines of messages on their way
-  std::deque<Time> pushes;                               // messages within the span
-};
-
-struct Table {
-  TableId id{};
-  std::map<EndpointId, double> sent;
-};
-
-struct Group {
-  std::map<bool, Table> tables;                      // by whether the classes on it must stay at home
-  std::vector<std::pair<double, RetryMode>> levels;  // by class, as sent; below 0: not sent yet
-  Time last_push{};
-};
-
-struct Slice {
-  std::map<EndpointId, double> lines;
-  bool stopped = false;
-  Time move_at{};
-};
+// Tables and orders.
+constexpr double kMoved = 0.1;             // a weight or level is sent once it moved by over this part
+constexpr double kBandRatio = 4;           // usual rates within one band differ by at most this
+constexpr double kLinesLeast = 8;          // of a table, however seldom its proxies send: some may fail
+constexpr int kRounds = 2, kEvenings = 3;  // tables of a band that share an endpoint; passes that even them
+constexpr std::uint32_t kGolden = 2654435769;  // scrambles ids: an order that nothing else goes by
+constexpr double kOpenRate = 1e6;              // requests/s: a level that binds nobody
+constexpr double kUrgentPart = 0.7, kBindPart = 0.6, kQueuePart = 0.4;  // of the queue: what each may fill
+constexpr double kPushPart = 0.6;  // of the messages allowed to a proxy: for ordinary orders
+constexpr double kAskPart = 0.8;   // of must_ask_in: a quiet subscription is renewed then
 
 }  // namespace
 
-std::vector<double> max_min_shares(double capacity, const std::vector<double>& demand) {
-  std::vector<std::size_t> order(demand.size());
-  std::iota(order.begin(), order.end(), 0);
-  std::sort(order.begin(), order.end(), [&](auto a, auto b) { return demand[a] < demand[b]; });
-  std::vector<double> fair(demand.size(), 0);
-  double left = std::max(0.0, capacity);
-  for (std::size_t k = 0; k < order.size(); ++k) {
-    double equal = left / static_cast<double>(order.size() - k);
-    fair[order[k]] = std::min(std::max(0.0, demand[order[k]]), equal);
-    left -= fair[order[k]];
-  }
-  return fair;
-}
-
 struct Brain::State {
   Settings set;
   Duration tightest_slo = Duration::max();
+  ClassMask masks[2] = {0, 0};  // classes free to leave their locality; home-only ones
   std::map<EndpointId, Endpoint> endpoints;
   std::map<ProxyId, Proxy> proxies;
   std::map<GroupKey, Group> groups;
   std::map<TableId, Slice> slices;
   std::vector<double> rates;  // admission rates by class, requests/s
-  Time now{}, next_cut{}, next_period{}, next_step{}, list_retry{}, list_asked{};
-  bool started = false, list_waiting = false;
-  int list_failures = 0;
-  std::uint32_t next_table = 0, serial = 0;
+  Demand demand{set};         // made once a period, and when proxies join
+  std::vector<double> taken;  // part of a locality's capacity that is in use
+  std::vector<double> stay;   // the part of its proxies' load that a locality keeps
+  Time now{}, next_cut = kLongAgo, next_period = kLongAgo, next_step = kLongAgo, ask_at = kLongAgo;
+  int list_failures = 0, next_table = 0;
+  bool list_changed = false;    // orders may not wait for the next period
+  std::deque<ProxyId> unbound;  // in the order they joined
+  double fleet_fails = 1;       // mean part of failed tries; 1: none heard of
+  double report_gap = 0;        // ms
   std::vector<Action> out;
-  std::map<ProxyId, double> message;  // lines of this reply, by proxy
+  OrderChannel channel{set.envelope_lines, set.pushes_span};
 
-  explicit State(Settings s) : set(std::move(s)), rates(set.classes.size(), kNoLimit) {
-    for (const RequestClass& c : set.classes) tightest_slo = std::min(tightest_slo, c.slo);
+  explicit State(Settings s) : set(std::move(s)) {
+    rates.assign(set.classes.size(), kNoLimit);
+    stay.assign(set.localities.size(), 1);
+    taken.assign(set.localities.size(), 1);
+    for (std::size_t c = 0; c < set.classes.size(); ++c) {
+      tightest_slo = std::min(tightest_slo, set.classes[c].slo);
+      masks[set.classes[c].home_only] |= ClassMask{1} << c;
+    }
     set.default_retry = std::min(set.default_retry, RetryMode::after_proof);  // rule 2: what we order is ours
   }
 
   // ---- The list ----
   void on(const EndpointList& e) {
     if (e.kind == ListKind::lost) {
-      list_waiting = true;
-      list_retry = now + std::min(set.must_ask_in / 8, set.period * std::exp2(std::min(++list_failures, 4)));
+      ask_at = now + std::min(set.must_ask_in / 8, set.period * std::exp2(std::min(++list_failures, 4)));
       return;
     }
-    if (e.kind != ListKind::warm_copy) list_failures = 0, list_asked = now;
+    if (e.kind != ListKind::warm_copy) list_failures = 0, ask_at = now + set.must_ask_in * kAskPart;
+    list_changed = true;
     std::set<EndpointId> named;
     for (const ListedEndpoint& entry : e.entries) {
       named.insert(entry.id);
@@ -180,10 +121,8 @@
   }
 
   void follow_list() {
-    if (!set.list_on_request) return;
-    if (list_waiting ? now < list_retry : now - list_asked < set.must_ask_in * kAskPart) return;
-    list_waiting = false;
-    list_asked = now;
+    if (!set.list_on_request || now < ask_at) return;
+    ask_at = now + set.must_ask_in * kAskPart;
     out.push_back(WatchList{true});
   }
 
@@ -198,31 +137,59 @@
     }
     p.group = {e.locality, static_cast<int>(std::floor(std::log(p.usual) / std::log(kBandRatio)))};
     p.came.assign(set.classes.size(), -1);
+    on(ProxyLeft{e.proxy});
     proxies[e.proxy] = std::move(p);
+    unbound.push_back(e.proxy);
   }
-  void on(const ProxyLeft& e) { proxies.erase(e.proxy); }
 
-  std::vector<std::pair<ProxyId, Proxy*>> members(const GroupKey& key) {
-    std::vector<std::pair<ProxyId, Proxy*>> found;
-    for (auto& [id, p] : proxies)
-      if (p.group == key && p.bound) found.emplace_back(id, &p);
-    return found;
+  void on(const ProxyLeft& e) {
+    auto p = proxies.find(e.proxy);
+    if (p == proxies.end()) return;
+    channel.forget(e.proxy);
+    if (p->second.bound) groups[p->second.group].leave(e.proxy, p->second.usual);
+    proxies.erase(p);
+  }
+
+  // A table holds no more lines than its proxies can keep connections warm for, nor than lets all proxies of
+  // the site be bound with one queue full of orders (rule 5). Where that is less than all, the endpoints are
+  // dealt in rounds to several tables of the band; a proxy comes to the one with the least usual load.
+  Group& choose_part(Proxy& p) {
+    Group& first = groups[{p.group.locality, p.group.band, 0}];
+    if (first.tables.empty()) {
+      double warm = std::pow(kBandRatio, p.group.band + 0.5) * (set.conn_idle / Duration(1000));
+      double fits = set.most_waiting_lines / std::max(1, set.proxies) - set.envelope_lines;
+      double all = 0, here = 0;
+      for (const auto& [id, ep] : endpoints)
+        all += ep.open(), here += ep.open() && ep.listed.locality == p.group.locality;
+      int chunks = static_cast<int>(std::min(all / std::max(1.0, std::min(warm, fits)), here / kLinesLeast));
+      if (chunks > 1) first.parts = kRounds * chunks;
+    }
+    for (int part = 1, parts = first.parts; part < parts; ++part) {
+      GroupKey key{p.group.locality, p.group.band, part};
+      groups[key].parts = parts;
+      if (groups[key].usual < groups[p.group].usual) p.group = key;
+    }
+    return groups[p.group];
   }
 
-  // Once a stream, after all else of the batch: what the proxy holds is unknown, a full bind settles it.
+  // Once a stream, after all else of the batch: what the proxy holds is unknown, a full bind settles it. A
+  // mass rejoin would overfill the channel (rule 5), so who finds no room there waits with what it holds.
   void bind_joined() {
-    ClassMask masks[2] = {0, 0};  // free to leave their locality; home-only
-    for (std::size_t c = 0; c < set.classes.size(); ++c) masks[set.classes[c].home_only] |= ClassMask{1} << c;
-    for (auto& [id, p] : proxies) {
-      if (p.bound) continue;
-      Group& group = groups[p.group];
+    for (; !unbound.empty() && channel.waiting() <= kBindPart * set.most_waiting_lines; unbound.pop_front()) {
+      auto p = proxies.find(unbound.front());
+      if (p == proxies.end() || p->second.bound) continue;
+      Group& group = choose_part(p->second);
       for (bool home : {false, true})
-        if (masks[home] != 0 && !group.tables.contains(home)) group.tables[home].id = TableId{next_table++};
-      if (members(p.group).empty()) write_group(p.group, group);  // costs nothing while nobody uses it
-      p.bound = true;
+        if (masks[home] != 0 && !group.tables.contains(home)) group.tables[home].id = TableId(next_table++);
+      p->second.bound = true;
+      group.enter(p->first, p->second.usual);
+      if (group.users.size() == 1) {
+        for (auto& [home, table] : group.tables) table.want = dealt_lines(p->second.group, group, home);
+        write_group(p->second.group, group, false);
+      }
       for (auto& [home, table] : group.tables) {
-        message[id] += 1.0 + static_cast<double>(table.sent.size() + set.classes.size());
-        out.push_back(Bind{masks[home], id, table.id});
+        channel.add(p->first, 1.0 + static_cast<double>(table.sent.size() + set.classes.size()));
+        out.push_back(Bind{masks[home], p->first, table.id});
       }
     }
   }
@@ -233,11 +200,21 @@
     if (found == endpoints.end()) return;
     Endpoint& ep = found->second;
     Path& path = ep.paths[e.from];
-    double good = std::max(0.0, e.tries - e.failed);
-    path.new_good += good, path.new_bad += e.failed;
     note_load(ep, e.load);
-    if (good > 0 && e.latency.count() > 0)
-      ep.latency_sum += good * e.latency.count(), ep.latency_count += good;
+    if (e.span.count() <= 0) return;
+    double good = std::max(0.0, e.tries - e.failed), periods = e.span / set.period;
+    double seconds = e.span / Duration(1000), keep = std::pow(kFailKeep, periods);
+    smooth(report_gap, e.span.count(), kGapSmoothing, report_gap == 0);
+    smooth(path.rate, e.tries / seconds, 1 - std::pow(1 - kSmoothing, periods));
+    path.good = path.good * keep + good, path.bad = path.bad * keep + e.failed;
+    path.heard = ep.heard = now;
+    if (good <= 0 || e.latency.count() <= 0) return;
+    path.last_good = now;
+    smooth(ep.latency, e.latency.count(), good / (good + kLatencyTries), ep.answered == 0);
+    smooth(ep.steady, e.latency.count(), good / (good + kSteadyTries), ep.answered == 0);
+    ep.answered += good, ep.news += good;
+    if (ep.answered >= kBaseTries)
+      ep.base = std::min(ep.base > 0 ? ep.base : kBaseMost * tightest_slo.count(), ep.steady);
   }
 
   void on(const ProxyUsage& e) {
@@ -252,29 +229,17 @@
       smooth(ep.busy, std::clamp(u->second, 0.0, 1.0), kSmoothing, ep.busy < 0), ep.report_age = 0;
   }
 
+  // The time between two reports of one endpoint: many endpoints and proxies share one intake of lines.
+  Duration gap() const { return std::max(set.period, Duration(report_gap)); }
+
   void close_period() {
     for (auto& [id, ep] : endpoints) {
-      double good = 0, bad = 0, seconds = set.period / Duration(1000);
+      ep.load = ep.served = 0;
       for (auto& [z, path] : ep.paths) {
-        good += path.new_good, bad += path.new_bad;
-        path.barren = path.new_good > 0 ? 0 : path.barren + 1;
-        path.good = path.good * kFailKeep + path.new_good;
-        path.bad = path.bad * kFailKeep + path.new_bad;
-        path.new_good = path.new_bad = 0;
+        if (now - path.heard > kUnheard * gap()) path.rate = path.good = path.bad = 0;
+        if (path.rate > 0) ep.load += path.rate, ep.served += path.rate * path.good / path.tries();
       }
-      smooth(ep.load, (good + bad) / seconds, kSmoothing);
-      smooth(ep.served, good / seconds, kSmoothing);
-      ep.silent_periods = good + bad > 0 ? 0 : ep.silent_periods + 1;
       if (++ep.report_age > kReportAge) ep.busy = -1;  // else, across a cut, its speed would seem to fade
-      if (ep.latency_count > 0) {
-        double sample = ep.latency_sum / ep.latency_count;
-        smooth(ep.latency, sample, kSmoothing, ep.answered == 0);
-        smooth(ep.steady, sample, kBaseSmoothing, ep.answered == 0);
-        ep.answered += ep.latency_count;
-        if (ep.answered >= kBaseTries)
-          ep.base = std::min(ep.base > 0 ? ep.base : kBaseMost * tightest_slo.count(), ep.steady);
-      }
-      ep.latency_sum = ep.latency_count = 0;
       ep.slow_periods = slowdown(ep) > threshold(ep) ? ep.slow_periods + 1 : 0;
     }
   }
@@ -284,11 +249,10 @@
   void learn_speeds() {
     double speed = 0, size = 0;
     auto known = [&](const Endpoint& ep) {
-      return counts(ep) && ep.busy >= kBusyLeast && ep.served > 0 && ramp(ep, nullptr) >= 1;
+      return counts(ep) && ep.busy >= kBusyLeast && ep.served > 0 && ep.listed.size > 0 && ramp(ep) >= 1;
     };
     for (auto& [id, ep] : endpoints)
       if (known(ep)) speed += ep.served / ep.busy, size += ep.listed.size;
-    if (speed <= 0 || size <= 0) return;
     for (auto& [id, ep] : endpoints) {
       if (!known(ep)) continue;
       double sample = ep.served / ep.busy / ep.listed.size * size / speed;
@@ -306,22 +270,16 @@
     return level < 0 ? came : std::min(came, level);
   }
 
-  double throughput(std::size_t c) const {
-    double sum = 0;
-    for (const auto& [id, p] : proxies) sum += admitted(p, c);
-    return sum;
-  }
-
-  double locality_load(Locality z, bool home) const {
-    double sum = 0;
+  void sum_demand() {
+    demand = Demand(set);
     for (const auto& [id, p] : proxies)
-      for (std::size_t c = 0; c < set.classes.size() && p.group.locality == z; ++c)
-        if (set.classes[c].home_only == home) sum += admitted(p, c);
-    return sum;
+      for (std::size_t c = 0; c < set.classes.size(); ++c) demand.add(p.group.locality, c, admitted(p, c));
   }
 
   // An unheard endpoint counts as average, by having no say: its last figure may be long out of date.
-  bool counts(const Endpoint& ep) const { return ep.open() && ep.base > 0 && ep.silent_periods < kUnheard; }
+  bool counts(const Endpoint& ep) const {
+    return ep.open() && ep.base > 0 && now - ep.heard < kUnheard * gap();
+  }
 
   double fail_share(const Endpoint& ep) const {
     double bad = 0, tries = 0;
@@ -336,13 +294,13 @@
   }
 
   double threshold(const Endpoint& ep) const {  // T, by the SLO and the endpoint's own baseline
-    return ep.base <= 0 ? kTMost : std::min(1 + kTSloPart * tightest_slo.count() / ep.base, kTMost);
+    return 1 + kTSloPart * tightest_slo.count() / std::max(ep.base, 1.0);
   }
 
   // The part of an endpoint's room that is free: by load reports, else by how far its queueing is from T's.
   double headroom(const Endpoint& ep) const {
-    double taken = ep.busy >= 0 ? ep.busy / kBusyFull : (slowdown(ep) - 1) / (threshold(ep) - 1);
-    return std::clamp(1 - taken, 0.0, 1.0);
+    double part = ep.busy >= 0 ? ep.busy / kBusyFull : (slowdown(ep) - 1) / (threshold(ep) - 1);
+    return std::clamp(1 - part, 0.0, 1.0);
   }
 
   // The mean of a figure over the endpoints heard of, by load.
@@ -361,31 +319,31 @@
           (!slowest || slowdown(ep) / threshold(ep) > slowdown(*slowest) / threshold(*slowest)))
         slowest = &ep;
     if (!slowest) return;
-    std::vector<double> demand(set.classes.size(), 0);
+    std::vector<double> there(set.classes.size(), 0);
     double tries = 0, capacity = 0;
     for (const auto& [z, path] : slowest->paths) tries += path.tries();
     for (const auto& [z, path] : slowest->paths) {
-      double local = locality_load(z, true) + locality_load(z, false);
-      for (const auto& [id, p] : proxies)
-        for (std::size_t c = 0; c < demand.size() && tries > 0 && local > 0 && p.group.locality == z; ++c)
-          demand[c] += slowest->load * path.tries() / tries * admitted(p, c) / local;
+      double local = demand.in(at(z));
+      for (std::size_t c = 0; c < there.size() && tries > 0 && local > 0; ++c)
+        there[c] += slowest->load * path.tries() / tries * demand.let_in[at(z)][c] / local;
     }
     // Capacity is what was answered: tries that fail there are demand, not proof of capacity.
     double answered = std::max(kAnsweredLeast, 1 - mean_of(&State::fail_share, 0));
-    for (double d : demand) capacity += (1 - kAlpha) * d * answered;
-    std::vector<double> fair = max_min_shares(capacity, demand);
+    for (double d : there) capacity += (1 - kAlpha) * d * answered;
+    std::vector<double> fair = max_min_shares(capacity, there);
     // Exception: endpoints far slower than the rest are drained by their weights; to cut whole classes for
     // them would refuse work that the others can do. Cuts wait until the fleet is full and slow as a whole.
     double room = mean_of(&State::headroom, 0);
     bool common = room < kRoomLeast && mean_of(&State::slowdown, 1) > mean_of(&State::threshold, 1);
     bool cut = slowest->slow_periods >= kCutWait && common && now >= next_cut;
     // A cut shows only in tries that start after it, which end a latency later: the next one waits so long.
-    if (cut) next_cut = now + set.push_delay_most + set.period * kCutWait + Duration(slowest->latency);
-    for (std::size_t c = 0; c < demand.size(); ++c) {
-      double used = throughput(c);
+    Duration seen = set.push_delay_most + std::max(set.period * kCutWait, gap()) + Duration(slowest->latency);
+    if (cut) next_cut = now + seen;
+    for (std::size_t c = 0; c < there.size(); ++c) {
+      double used = demand.of_class(c);
       double& rate = rates[c];
-      if (cut && fair[c] < demand[c]) {
-        rate = std::min(rate, used) * fair[c] / demand[c];
+      if (cut && fair[c] < there[c]) {
+        rate = std::min(rate, used) * fair[c] / there[c];
       } else if (rate < kNoLimit && !(common && slowest->slow_periods > 0)) {
         if (rate < kRateOverUse * used) rate *= 1 + kBeta + kBetaFree * room;
         else rate = kNoLimit;  // binds nobody any more
@@ -398,11 +356,12 @@
     double mean = mean_of(&State::slowdown, 1);
     for (auto& [id, ep] : endpoints) {
       double off = counts(ep) ? std::max(slowdown(ep), 0.01) / mean : 1;
+      double sure = ep.news / (ep.news + kLatencyTries);  // a few tries say little, and none nothing new
+      ep.news = 0;
       if (off < 1 + kDeadBand && off > 1 / (1 + kDeadBand)) off = 1;
-      // The nudge fades: a baseline that chance set low makes an endpoint look slow for good, and a step that
-      // only adds up would drain it.
-      ep.nudge =
-          std::clamp(std::pow(ep.nudge, kNudgeKeep) * std::pow(off, -kWeightGain), kNudgeMin, kNudgeMax);
+      // It fades: a baseline that chance set low would make an endpoint look slow, and drain it, for good.
+      ep.nudge = std::clamp(std::pow(ep.nudge, kNudgeKeep) * std::pow(off, -kWeightGain * sure), kNudgeMin,
+                            kNudgeMax);
     }
   }
 
@@ -428,19 +387,20 @@
       Path& path = ep.paths[from];
       if (path.ejected) {
         if (now >= path.until && (!set.may_probe || ep.probes >= kProbes))
-          path = Path{.eases_in = true, .returned = now, .ejections = path.ejections};
+          path = {.ejections = path.ejections}, ep.returned = from == ep.listed.locality ? now : ep.returned;
         continue;
       }
-      double others = all_tries - path.tries();
-      double others_bad = others > 0 ? (all_bad - path.bad) / others : 0;
-      bool gone = reached && ep.listed.locality == from && ep.probes <= -kProbes;
-      bool dead = path.barren >= kBarren && (gone || path.bad >= kFailsLeast);
-      if (!dead || others_bad > kCommonBad || healthy - ep.listed.size < kPanic * listed) continue;
+      double others = all_tries - path.tries(), others_bad = others > 0 ? (all_bad - path.bad) / others : 0;
+      bool gone = reached && ep.listed.locality == from && ep.probes <= -kProbes &&
+                  now - path.last_good >= kBarren * set.period + gap();
+      bool barren = path.heard - path.last_good >= kBarren * set.period && path.bad >= kFailsLeast;
+      if (!(gone || barren) || others_bad > kCommonBad) continue;
+      if (healthy - ep.listed.size < kPanic * listed) continue;
       healthy -= ep.listed.size;
       path.ejected = true;
       path.until = now + kEjectLeast * std::exp2(std::min(path.ejections++, kEjectDoublings));
       ep.probes = std::min(ep.probes, 0);
-      std::string why = gone ? ": no probe answered, seen from " : ": tries fail, seen from ";
+      const char* why = gone ? ", no probe answered, seen from " : ", tries fail, seen from ";
       out.push_back(Remark{"eject " + std::to_string(at(id)) + why + set.localities[at(from)]});
     }
   }
@@ -448,7 +408,7 @@
   // Each open endpoint where load reports come by no other way; else only the ejected, on their way back.
   void send_probes() {
     for (auto& [id, ep] : endpoints) {
-      bool wanted = set.reports_by_probe;
+      bool wanted = set.reports_by_probe || (set.local_proxies_only && ep.busy < 0);
       for (auto& [z, path] : ep.paths) wanted |= path.ejected;
       if (set.may_probe && ep.open() && wanted) out.push_back(Probe{id});
     }
@@ -465,57 +425,124 @@
   // ---- Slow start ----
   // The part of its capacity that a starting endpoint is guaranteed to have; the work sent follows it. One
   // back from ejection may have restarted unseen, so it eases in alike, in half the time.
-  double ramp(const Endpoint& ep, const Path* path) const {
+  double ramp(const Endpoint& ep) const {
     auto part = [&](Time since, Duration over) {
       return std::clamp(set.start_capacity + (1 - set.start_capacity) * ((now - since) / over), 0.0, 1.0);
     };
-    double r = ep.listed.started_known ? part(ep.listed.started, set.warm_up) : 1;
-    return path && path->eases_in ? std::min(r, part(path->returned, set.warm_up / 2)) : r;
+    double back = part(ep.returned, set.warm_up / 2);
+    return ep.listed.started_known ? std::min(back, part(ep.listed.started, set.warm_up)) : back;
   }
 
-  double strength(const Endpoint& ep, Locality from, double fleet_fails) const {
+  double strength(const Endpoint& ep, Locality from) const {
     if (!ep.open() || ejected(ep, from)) return 0;
-    auto p = ep.paths.find(from);
-    double r = ramp(ep, p == ep.paths.end() ? nullptr : &p->second);
+    double r = ramp(ep);
     // Rule 4 in a jam: the fleet's overload, repeats and all, would come to a cold endpoint as well. It waits
     // until the others no longer fail or nothing else is left; a controller just started knows no calm yet.
     return r < 1 && fleet_fails > kCommonBad ? 0 : ep.listed.size * ep.speed * r;
   }
 
   // ---- Tables ----
+  // The part of its capacity that a locality's work takes, by the endpoints' own account. Where other
+  // controllers serve other localities' proxies, their load is not heard of: what stays at home then falls
+  // while it is fuller than the mean and full enough to queue, and else rises.
+  void spill_step() {
+    std::vector<double> all(set.localities.size(), 0);
+    taken.assign(all.size(), 0);
+    for (const auto& [id, ep] : endpoints)
+      if (ep.open() && (ep.busy >= 0 || counts(ep))) {
+        double size = ep.listed.size * ep.speed * ramp(ep);
+        taken[at(ep.listed.locality)] += size * (1 - headroom(ep)), all[at(ep.listed.locality)] += size;
+      }
+    for (std::size_t z = 0; z < all.size(); ++z) taken[z] = all[z] > 0 ? taken[z] / all[z] : 1;
+    double mean = std::accumulate(taken.begin(), taken.end(), 0.0) / static_cast<double>(taken.size());
+    for (std::size_t z = 0; z < taken.size(); ++z) {
+      double over = std::max(taken[z], 0.01) / std::max(mean, kSpillFrom);
+      stay[z] = std::clamp(stay[z] * std::pow(over, -kSpillGain), kStayLeast, 1.0);
+    }
+  }
+
   // Local endpoints by strength; a locality's load over the fleet's mean goes to the localities under it.
   std::map<EndpointId, double> wanted_lines(Locality own, bool home) const {
     std::size_t zones = set.localities.size(), here = at(own);
-    std::vector<double> strong(zones, 0), spare(zones, 0), factor(zones, 0);  // factor: weight of a strength
-    double all_strong = 0, all_load = 0, all_spare = 0, fleet_fails = mean_of(&State::fail_share, 1);
-    for (const auto& [id, ep] : endpoints)
-      strong[at(ep.listed.locality)] += strength(ep, own, fleet_fails) * std::sqrt(ep.nudge);
-    for (std::size_t z = 0; z < zones; ++z) {
-      spare[z] = -locality_load(Locality(z), true) - locality_load(Locality(z), false);
-      all_strong += strong[z], all_load -= spare[z];
-    }
-    double mean = all_strong > 0 ? all_load / all_strong : 0, load = -spare[here];
+    std::vector<double> strong(zones, 0), load = taken, factor(zones, 0);  // factor: weight of a strength
+    double all_strong = 0, all_load = 0, all_spare = 0;
+    for (const auto& [id, ep] : endpoints) strong[at(ep.listed.locality)] += strength(ep, own);
     for (std::size_t z = 0; z < zones; ++z) {
-      spare[z] = z == here ? 0 : std::max(0.0, spare[z] + strong[z] * mean);
-      all_spare += spare[z];
+      load[z] = set.local_proxies_only ? load[z] * strong[z] : demand.in(z);
+      all_strong += strong[z], all_load += load[z];
     }
+    double mean = all_strong > 0 ? all_load / all_strong : 0;
+    double over = std::min(load[here] - strong[here] * mean, demand.free_in(here));
+    double kept = set.local_proxies_only ? stay[here] : 1 - std::max(0.0, over) / std::max(load[here], 1e-9);
+    for (std::size_t z = 0; z < zones; ++z)
+      if (z != here) all_spare += std::max(0.0, strong[z] * mean - load[z]);
     factor[here] = 1;
-    double over = std::min(load - strong[here] * mean, locality_load(own, false));
     if (!home && strong[here] <= 0) std::fill(factor.begin(), factor.end(), 1);
-    else if (!home && over > 0 && all_spare > 0 && load > over)
+    else if (!home && kept < 1 && all_spare > 0 && kept > 0)
       for (std::size_t z = 0; z < zones; ++z)
-        if (strong[z] > 0 && z != here)
-          factor[z] = over * spare[z] / all_spare / strong[z] * strong[here] / (load - over);
+        if (double spare = strong[z] * mean - load[z]; z != here && spare > 0)
+          factor[z] = (1 - kept) / kept * spare / all_spare / strong[z] * strong[here];
     std::map<EndpointId, double> lines;
     for (const auto& [id, ep] : endpoints)
-      if (double w = strength(ep, own, fleet_fails) * factor[at(ep.listed.locality)]; w > 0)
-        lines[id] = w * (ramp(ep, nullptr) < 1 ? std::min(1.0, ep.nudge) : ep.nudge);
+      if (double w = strength(ep, own) * factor[at(ep.listed.locality)]; w > 0)
+        lines[id] = w * (ramp(ep) < 1 ? std::min(1.0, ep.nudge) : ep.nudge);
     if (lines.empty())  // rule 1: rather a suspect or cold endpoint than none
       for (const auto& [id, ep] : endpoints)
-        if (ep.open() && (!home || ep.listed.locality == own)) lines[id] = ep.listed.size * ramp(ep, nullptr);
+        if (ep.open() && (!home || ep.listed.locality == own)) lines[id] = ep.listed.size * ramp(ep);
     return lines;
   }
 
+  // The part of the wanted lines that one table of a band holds: in each round all endpoints of a locality,
+  // in an order of the round's own, are cut into chunks of one table each.
+  std::map<EndpointId, double> dealt_lines(const GroupKey& key, const Group& group, bool home) const {
+    std::map<EndpointId, double> all = wanted_lines(key.locality, home), part;
+    if (group.parts <= 1) return all;
+    auto round = static_cast<std::uint32_t>(key.part % kRounds);
+    std::size_t chunk = at(key.part) / kRounds, chunks = at(group.parts) / kRounds;
+    std::map<Locality, std::vector<std::pair<std::uint32_t, EndpointId>>> order;
+    for (const auto& [id, w] : all)
+      order[endpoints.at(id).listed.locality].emplace_back(std::uint32_t(id) * (kGolden + 2 * round), id);
+    for (auto& [z, ids] : order) {
+      std::sort(ids.begin(), ids.end());
+      for (std::size_t k = 0; k < ids.size(); ++k)
+        if (k * chunks / ids.size() == chunk) part[ids[k].second] = all[ids[k].second];
+    }
+    return part.empty() ? all : part;
+  }
+
+  // What every table should hold. Tables that share endpoints differ in what their proxies bring: each line
+  // is scaled, a few times over, by its endpoint's due over what all tables together would send to it.
+  void plan_tables() {
+    for (auto& [key, group] : groups)
+      for (auto& [home, table] : group.tables) table.want = dealt_lines(key, group, home);
+    for (int k = 0; k < kEvenings; ++k) {
+      std::map<EndpointId, double> load;
+      std::map<Locality, double> all_load, all_due;
+      auto due = [&](EndpointId id) {
+        const Endpoint& ep = endpoints.at(id);
+        return ep.listed.size * ep.speed * ep.nudge * ramp(ep);
+      };
+      for (auto& [key, group] : groups)
+        for (auto& [home, table] : group.tables) {
+          double came = 0, sum = 0;
+          for (ProxyId id : group.users)
+            for (std::size_t c = 0; c < set.classes.size(); ++c)
+              if (set.classes[c].home_only == home) came += admitted(proxies.at(id), c);
+          for (auto& [id, w] : table.want) sum += w;
+          for (auto& [id, w] : table.want) load[id] += came * w / sum;
+        }
+      for (auto& [id, l] : load) {
+        Locality z = endpoints.at(id).listed.locality;
+        all_load[z] += l, all_due[z] += due(id);
+      }
+      for (auto& [key, group] : groups)
+        for (auto& [home, table] : group.tables)
+          for (auto& [id, w] : table.want)
+            if (Locality z = endpoints.at(id).listed.locality; load[id] > 0)
+              w *= due(id) / all_due[z] * all_load[z] / load[id];
+    }
+  }
+
   // ---- Retry modes ----
   RetryMode retry_mode(const RequestClass& rc) const {
     // What fails everywhere finds no better endpoint: a second try is one more knock at full doors.
@@ -523,11 +550,11 @@
     // Just (re)started, into whatever jam there is: no more than is usual, and nothing without proof.
     double slow = mean_of(&State::slowdown, 0);
     if (slow == 0) return set.default_retry;
-    bool loaded = slow > kLoadedSlowdown;
-    for (double r : rates) loaded |= r < kNoLimit;
+    bool cut = std::any_of(rates.begin(), rates.end(), [](double r) { return r < kNoLimit; });
     // Rule 2: only what is safe anywhere is repeated without proof that the first try never ran; tables span
     // cells, so a deduplicated request could meet an endpoint that doesn't know the first.
-    return rc.semantics == Semantics::retryable && !loaded ? RetryMode::once : RetryMode::after_proof;
+    return rc.semantics == Semantics::retryable && !cut && slow <= kLoadedSlowdown ? RetryMode::once
+                                                                                   : RetryMode::after_proof;
   }
 
   // ---- Levels ----
@@ -540,10 +567,10 @@
 
   // The class's rate, split over bands by throughput and within the band max-min to a rate at each proxy.
   double shared_level(const GroupKey& key, std::size_t c) const {
-    double all = throughput(c), band = 0;
+    double all = demand.of_class(c), band = 0;
     std::vector<double> came;
-    for (const auto& [id, p] : proxies)
-      if (p.group == key) band += admitted(p, c), came.push_back(p.came[c]);
+    for (ProxyId id : groups.at(key).users)
+      band += admitted(proxies.at(id), c), came.push_back(proxies.at(id).came[c]);
     if (rates[c] == kNoLimit || all <= 0 || came.empty()) return kOpenRate;
     if (set.level_kind == LevelKind::share) return rates[c] / all;
     double part = rates[c] * band / all, most = 0;
@@ -554,37 +581,39 @@
   // Rule 4 where weights can't help: while all that a table may use is cold (a home-only class, its locality
   // back from a loss), its proxies let in an even part of their usual rate, times the guaranteed capacity.
   double cold_level(const GroupKey& key, bool home) const {
-    double warmest = 0, usual = 0, count = 0;
+    double warmest = 0;
+    const Group& group = groups.at(key);
     for (const auto& [id, ep] : endpoints)
-      if (ep.open() && (!home || ep.listed.locality == key.locality))
-        warmest = std::max(warmest, ramp(ep, nullptr));
-    if (set.level_kind != LevelKind::rate || warmest >= 1 || warmest <= 0) return kOpenRate;
-    for (const auto& [id, p] : proxies)
-      if (p.group == key) usual += p.usual, ++count;
-    return count > 0 ? usual / count * warmest / static_cast<double>(set.classes.size()) : kOpenRate;
+      if (ep.open() && (!home || ep.listed.locality == key.locality)) warmest = std::max(warmest, ramp(ep));
+    if (set.level_kind != LevelKind::rate || warmest >= 1 || warmest <= 0 || group.users.empty())
+      return kOpenRate;
+    return group.usual * warmest / static_cast<double>(group.users.size() * set.classes.size());
   }
 
   // ---- Pace of orders ----
   static bool moved(double from, double to) { return std::abs(to - from) > kMoved * std::max(from, 1e-9); }
 
-  // Writes what has moved.
-  void write_group(const GroupKey& key, Group& group) {
+  // Writes what has moved; if only what is urgent: lines that must go or halve at once, as their endpoint is
+  // draining, gone, ejected or restarted cold, and lines in their place.
+  void write_group(const GroupKey& key, Group& group, bool urgent) {
+    std::size_t before = out.size();
     for (auto& [home, table] : group.tables) {
-      std::map<EndpointId, double> want = wanted_lines(key.locality, home);
-      for (auto& [id, w] : want) {
-        double& had = table.sent[id];
-        if (had > 0 && !moved(had, w)) continue;
-        had = w;
-        out.push_back(SetLine{table.id, id, w});
-      }
       std::erase_if(table.sent, [&](auto& line) {
-        if (want.contains(line.first)) return false;
-        out.push_back(SetLine{table.id, line.first, 0});
-        return true;
+        bool stays = table.want.contains(line.first) ||
+                     (urgent && strength(endpoints.at(line.first), key.locality) > 0);
+        if (!stays) out.push_back(SetLine{table.id, line.first, 0});
+        return !stays;
       });
+      bool gone = out.size() > before;
+      for (auto& [id, w] : table.want) {
+        double had = table.sent.contains(id) ? table.sent[id] : 0;
+        if (!moved(had, w) || (urgent && (had > 0 ? w > had / 2 : !gone))) continue;
+        table.sent[id] = w;
+        out.push_back(SetLine{table.id, id, w});
+      }
     }
     group.levels.resize(set.classes.size(), {-1, RetryMode::never});
-    for (std::size_t c = 0; c < set.classes.size(); ++c) {
+    for (std::size_t c = 0; c < set.classes.size() && !urgent; ++c) {
       auto& had = group.levels[c];
       std::pair want{wanted_level(key, c), retry_mode(set.classes[c])};
       if (had.first >= 0 && had.second == want.second && !moved(had.first, want.first)) continue;
@@ -592,61 +621,29 @@
       TableId table = group.tables.at(set.classes[c].home_only).id;
       out.push_back(Admit{table, false, ClassMask{1} << c, want.first, want.second});
     }
-  }
-
-  // A line that must go or halve at once: draining, gone, ejected or restarted cold.
-  bool urgent(const GroupKey& key, const Group& group) const {
-    for (const auto& [home, table] : group.tables) {
-      std::map<EndpointId, double> want = wanted_lines(key.locality, home);
-      for (const auto& [id, w] : table.sent)
-        if (auto it = want.find(id); it == want.end() || it->second < w / 2) return true;
-    }
-    return false;
+    if (out.size() == before) return;
+    for (ProxyId id : group.users) channel.add(id, static_cast<double>(out.size() - before));
+    (urgent ? group.last_urgent : group.last_push) = now;
   }
 
   void publish() {
-    double waiting = 0;  // lines, at most: sent and not yet confirmed as applied
-    for (const auto& [id, p] : proxies)
-      for (const auto& [s, lines] : p.unacked) waiting += lines;
     double allowed = set.pushes_allowed > 0 ? set.pushes_allowed : kOpenRate;
-    Duration gap = std::max({kStep, set.period, set.pushes_span / (kPushPart * allowed)});
-    for (auto& [key, group] : groups) {
-      auto users = members(key);
-      double most = 0;
-      for (auto& [id, p] : users) {
-        while (!p->pushes.empty() && now - p->pushes.front() > set.pushes_span) p->pushes.pop_front();
-        most = std::max(most, static_cast<double>(p->pushes.size()) + 1);
+    Duration least = set.pushes_span / allowed, gap = std::max({kStep, set.period, least / kPushPart});
+    fleet_fails = mean_of(&State::fail_share, 1);
+    plan_tables();
+    for (bool urgent : {true, false})
+      for (auto& [key, group] : groups) {
+        double most = 0;
+        for (ProxyId id : group.users) most = std::max(most, channel.messages(id, now));
+        bool room = channel.waiting() <= (urgent ? kUrgentPart : kQueuePart) * set.most_waiting_lines;
+        bool due = most <= allowed * (urgent ? kUrgentPart : kPushPart)
+                       ? urgent || now - group.last_push >= gap
+                       : urgent && now - std::max(group.last_push, group.last_urgent) >= least;
+        if (room && due && !group.users.empty()) write_group(key, group, urgent);
       }
-      bool due = now - group.last_push >= gap && most <= allowed * kPushPart &&
-                 waiting <= kQueuePart * set.most_waiting_lines;
-      if (users.empty() || !(due || (most < allowed && urgent(key, group)))) continue;
-      std::size_t before = out.size();
-      write_group(key, group);
-      if (out.size() == before) continue;
-      group.last_push = now;
-      for (auto& [id, p] : users) message[id] += static_cast<double>(out.size() - before);
-    }
   }
 
-  void close_message() {
-    if (message.empty()) return;
-    serial = (serial + 1) % kSerials;
-    out.push_back(Barrier{serial, false});
-    for (auto& [id, lines] : message) {
-      Proxy& p = proxies.at(id);
-      p.unacked.emplace_back(serial, lines + 1 + set.envelope_lines);
-      p.pushes.push_back(now);
-    }
-    message.clear();
-  }
-
-  void on(const OrderApplied& e) {
-    auto p = proxies.find(e.proxy);
-    if (p == proxies.end()) return;
-    auto& queue = p->second.unacked;
-    auto hit = std::find_if(queue.begin(), queue.end(), [&](auto& m) { return m.first == e.serial; });
-    if (hit != queue.end()) queue.erase(queue.begin(), hit + 1);
-  }
+  void on(const OrderApplied& e) { channel.applied(e.proxy, e.serial); }
 
   // ---- Sites with slices ----
   void on(const SliceGiven& e) {
@@ -657,22 +654,16 @@
     if (auto s = slices.find(e.slice); s != slices.end()) s->second.lines[e.endpoint] = e.weight;
   }
 
-  // Lines of closed endpoints go; a slice left without gets the endpoint with the fewest slices for its size.
-  // A single-writer slice is stopped first and moves when what its former owner holds must have ended.
+  // Lines of closed endpoints go; a slice left without gets the endpoint with the fewest slices for its size,
+  // a warm one first. A single-writer slice is stopped and moves when its former owner must have ended.
   void settle_slices() {
-    std::map<EndpointId, double> load;  // slices over size; of warm endpoints, if there are any
-    for (double warm : {1.0, 0.0})
-      if (load.empty())
-        for (auto& [id, ep] : endpoints)
-          if (ep.open() && ramp(ep, nullptr) >= warm) load[id] = 0;
-    auto weigh = [&](EndpointId id) { load[id] += 1 / std::max(endpoints[id].listed.size, 1e-3); };
+    std::map<EndpointId, double> held;  // slices
     for (auto& [t, slice] : slices)
-      for (auto& [id, w] : slice.lines)
-        if (load.contains(id)) weigh(id);
+      for (auto& [id, w] : slice.lines) ++held[id];
     for (auto& [t, slice] : slices) {
       if (!slice.stopped) {
         std::erase_if(slice.lines, [&](auto& line) {
-          if (endpoints.contains(line.first) && endpoints[line.first].open()) return false;
+          if (auto e = endpoints.find(line.first); e != endpoints.end() && e->second.open()) return false;
           if (!set.single_writer) out.push_back(SetLine{t, line.first, 0});
           return true;
         });
@@ -681,12 +672,17 @@
         slice.move_at = now + (set.single_writer ? set.push_delay_most + set.lease + set.settle : Duration{});
         if (set.single_writer) out.push_back(Admit{t, false, 0, 0, RetryMode::never});
       }
-      if (load.empty() || now < slice.move_at) continue;
-      auto less = [](auto& a, auto& b) { return a.second < b.second; };
-      EndpointId best = std::min_element(load.begin(), load.end(), less)->first;
-      slice.lines[best] = 1;
-      weigh(best);
-      out.push_back(SetLine{t, best, 1});
+      if (now < slice.move_at) continue;
+      auto rank = [&](auto& e) {
+        return std::pair{ramp(e.second) < 1, held[e.first] / std::max(e.second.listed.size, 1e-3)};
+      };
+      auto best = endpoints.end();
+      for (auto e = endpoints.begin(); e != endpoints.end(); ++e)
+        if (e->second.open() && (best == endpoints.end() || rank(*e) < rank(*best))) best = e;
+      if (best == endpoints.end()) continue;
+      slice.lines[best->first] = 1;
+      ++held[best->first];
+      out.push_back(SetLine{t, best->first, 1});
       if (std::exchange(slice.stopped, false))
         out.push_back(Admit{t, false, 0, open_level(), set.default_retry});
     }
@@ -699,19 +695,17 @@
     now = time;
     out.clear();
     for (const Event& e : events) std::visit([&](const auto& x) { on(x); }, e);
-    if (!started) {
-      started = true;
-      list_asked = next_cut = next_step = next_period = now;
-      if (set.list_on_request) out.push_back(WatchList{true});
-    }
     follow_list();
-    if (now >= next_period) {
+    bool period = now >= next_period;
+    if (period || !unbound.empty()) sum_demand();
+    if (period) {
       close_period();
       for (std::size_t z = 0; z < set.localities.size(); ++z) judge_health(Locality(z));
       if (now >= next_step) {
         bfair_step();
         learn_speeds();
         weight_step();
+        spill_step();
         send_probes();
         next_step = now + kStep;
       }
@@ -721,9 +715,9 @@
     if (set.slices > 0) {
       settle_slices();
     } else {
-      publish();
+      if (period || std::exchange(list_changed, false)) publish();
       bind_joined();
-      close_message();
+      if (auto serial = channel.close(now)) out.push_back(Barrier{*serial, false});
     }
     return std::move(out);
   }
--- a/src/brain.h
+++ b/src/brain.h
@@ -47,6 +47,7 @@
   std::vector<RequestClass> classes;
   std::vector<std::string> localities;
   Locality home{};
+  bool local_proxies_only = false;  // other controllers serve the other localities' proxies
   bool list_on_request = true, may_probe = false, single_writer = false;
   int slices = 0;  // 0: tables are the controller's own and proxies are bound to them
   LevelKind level_kind = LevelKind::none;
@@ -54,6 +55,8 @@
   double retry_wait_factor = 1;  // a try that may be followed waits this many SLOs
   // The order channel.
   double egress_lines_per_s = 0, envelope_lines = 0, most_waiting_lines = 0;
+  int proxies = 0;         // of all controllers
+  Duration conn_idle{};    // a proxy closes a connection that is idle for so long
   int pushes_allowed = 0;  // messages to one proxy within pushes_span; 0: no limit
   Duration pushes_span{}, push_delay{}, push_delay_most{};
   // Reports and guarantees.
@@ -198,9 +201,6 @@
 using Action = std::variant<WatchList, FetchList, SetTimer, Probe, SendPeer, SetLine, ResetTable, Bind,
                             Withdraw, Admit, Barrier, Remark, DeclareFault>;
 
-// Max-min fair shares of `capacity` over `demand`: nobody gets more than asked, the small are served first.
-std::vector<double> max_min_shares(double capacity, const std::vector<double>& demand);
-
 // One controller. Same events, same actions; instances share nothing.
 class Brain {
  public:
--- /dev/null
+++ b/src/channel.h
@@ -0,0 +1,82 @@
+// Accounts for the order channel: which lines wait or travel, and which messages each proxy was sent. It
+// counts and decides nothing.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "brain.h"
+
+namespace beamshunt {
+
+class OrderChannel {
+ public:
+  OrderChannel(double envelope_lines, Duration span) : overhead_(envelope_lines + 1), span_(span) {}
+
+  // Lines, at most: sent and not yet confirmed as applied.
+  double waiting() const { return waiting_; }
+
+  // Messages to a proxy within the span, one more included.
+  double messages(ProxyId proxy, Time now) {
+    auto& times = sent_[proxy].times;
+    while (!times.empty() && now - times.front() > span_) times.pop_front();
+    return static_cast<double>(times.size()) + 1;
+  }
+
+  // Adds lines to the proxy's message of this reply; a message has an envelope and a barrier besides.
+  void add(ProxyId proxy, double lines) {
+    if (!open_.contains(proxy)) lines += overhead_;
+    open_[proxy] += lines;
+    waiting_ += lines;
+  }
+
+  // Ends the messages of this reply; the serial of their barrier, if there are any.
+  std::optional<std::uint32_t> close(Time now) {
+    if (open_.empty()) return std::nullopt;
+    serial_ = static_cast<std::uint16_t>(serial_ + 1);
+    for (auto [proxy, lines] : open_) {
+      sent_[proxy].unconfirmed.emplace_back(serial_, lines);
+      sent_[proxy].times.push_back(now);
+    }
+    open_.clear();
+    return serial_;
+  }
+
+  // A message and all before it are with the proxy.
+  void applied(ProxyId proxy, std::uint32_t serial) {
+    auto found = sent_.find(proxy);
+    if (found == sent_.end()) return;
+    auto& queue = found->second.unconfirmed;
+    auto hit = std::find_if(queue.begin(), queue.end(), [&](auto& m) { return m.first == serial; });
+    if (hit == queue.end()) return;
+    for (auto m = queue.begin(); m != hit + 1; ++m) waiting_ -= m->second;
+    queue.erase(queue.begin(), hit + 1);
+  }
+
+  // The stream is gone and with it what was on its way.
+  void forget(ProxyId proxy) {
+    auto found = sent_.find(proxy);
+    if (found != sent_.end())
+      for (auto& [serial, lines] : found->second.unconfirmed) waiting_ -= lines;
+    if (auto open = open_.extract(proxy)) waiting_ -= open.mapped();
+    sent_.erase(proxy);
+  }
+
+ private:
+  struct Sent {
+    std::deque<std::pair<std::uint32_t, double>> unconfirmed;  // serial and lines
+    std::deque<Time> times;                                    // of messages within the span
+  };
+  double overhead_, waiting_ = 0;
+  Duration span_;
+  std::uint16_t serial_ = 0;  // the wire's barriers have so many bits
+  std::map<ProxyId, Sent> sent_;
+  std::map<ProxyId, double> open_;  // lines of this reply
+};
+
+}  // namespace beamshunt
--- /dev/null
+++ b/src/state.h
@@ -0,0 +1,111 @@
+// What the decision module remembers: plain records without a decision or a tuned value. brain.cpp decides.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <numeric>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "brain.h"
+
+namespace beamshunt {
+
+constexpr Time kLongAgo = Time::min();  // before anything that was heard or done
+
+template <typename Id>
+std::size_t at(Id id) {
+  return static_cast<std::size_t>(id);
+}
+inline void smooth(double& value, double sample, double weight, bool first = false) {
+  value = first ? sample : value + weight * (sample - value);
+}
+
+// What one locality's proxies met at one endpoint. Health is kept by path: a cut between localities shows
+// dead endpoints to one side only; a dead endpoint fails for its own locality too.
+struct Path {
+  double good = 0, bad = 0;  // tries, fading with the time reported
+  double rate = 0;           // tries a second, smoothed
+  bool ejected = false;
+  Time until{};
+  int ejections = 0;
+  Time heard = kLongAgo, last_good = kLongAgo;  // reports: any, one with a good answer
+  double tries() const { return good + bad; }
+};
+
+struct Endpoint {
+  ListedEndpoint listed;
+  double latency = 0, steady = 0, base = 0;  // smoothed, smoothed longer, and the lowest of that (ms)
+  double answered = 0;                       // tries that a latency is known of
+  double load = 0, served = 0;               // tries and good tries a second, smoothed
+  double busy = -1;                          // utilization by load reports, smoothed; below 0: none yet
+  double speed = 1, nudge = 1;               // what load reports and the weight step make of the listed size
+  int slow_periods = 0, report_age = 0;      // in periods
+  double news = 0;                           // answered tries heard of since the last weight step
+  Time heard = kLongAgo, returned = kLongAgo;  // reports; from ejection
+  int probes = 0;                              // answered in a row; below 0: unanswered in a row
+  std::map<Locality, Path> paths;
+  bool open() const { return listed.state == EndpointState::in_service; }
+};
+
+struct GroupKey {  // proxies that share tables: by locality, throughput band and part of the band
+  Locality locality{};
+  int band = 0, part = 0;
+  auto operator<=>(const GroupKey&) const = default;
+};
+
+struct Proxy {
+  GroupKey group;
+  bool bound = false;
+  double usual = 0;
+  std::vector<double> came;  // requests a second by class, smoothed; below 0: not heard of
+};
+
+struct Table {
+  TableId id{};
+  std::map<EndpointId, double> want, sent;
+};
+
+struct Group {
+  int parts = 1;                                     // that the endpoints are dealt to
+  double usual = 0;                                  // requests a second that its users usually receive
+  std::set<ProxyId> users;                           // those bound to it
+  std::map<bool, Table> tables;                      // by whether the classes on it must stay at home
+  std::vector<std::pair<double, RetryMode>> levels;  // by class, as sent; below 0: not sent yet
+  Time last_push = kLongAgo, last_urgent = kLongAgo;
+
+  void enter(ProxyId proxy, double rate) { users.insert(proxy), usual += rate; }
+  void leave(ProxyId proxy, double rate) { users.erase(proxy), usual -= rate; }
+};
+
+// What proxies let in, requests a second, by locality and class.
+struct Demand {
+  std::vector<bool> home_only;
+  std::vector<std::vector<double>> let_in;
+
+  explicit Demand(const Settings& set)
+      : let_in(set.localities.size(), std::vector<double>(set.classes.size(), 0)) {
+    for (const RequestClass& c : set.classes) home_only.push_back(c.home_only);
+  }
+  void add(Locality z, std::size_t c, double rate) { let_in[at(z)][c] += rate; }
+  double of_class(std::size_t c) const {
+    double sum = 0;
+    for (const auto& by_class : let_in) sum += by_class[c];
+    return sum;
+  }
+  double in(std::size_t z) const { return std::accumulate(let_in[z].begin(), let_in[z].end(), 0.0); }
+  double free_in(std::size_t z) const {  // of the classes that may leave their locality
+    double sum = 0;
+    for (std::size_t c = 0; c < home_only.size(); ++c) sum += home_only[c] ? 0 : let_in[z][c];
+    return sum;
+  }
+};
+
+struct Slice {
+  std::map<EndpointId, double> lines;
+  bool stopped = false;
+  Time move_at{};
+};
+
+}  // namespace beamshunt
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -10,17 +10,17 @@
 namespace {
 
 const std::string kSettings =
-    "azs=north,south locality=north classes.count=2 classes.0.name=read classes.0.slo=1000.0 "
+    "azs=north,south balancers=1 locality=north classes.count=2 classes.0.name=read classes.0.slo=1000.0 "
     "classes.0.deadline=3000.0 classes.0.semantics=retryable classes.1.name=pay classes.1.slo=1500.0 "
     "classes.1.deadline=5000.0 classes.1.semantics=dedup classes.1.key_scope=cell classes.1.window=3000.0 "
     "discovery=on_request family_info.home_only=false,true family_info.key_ranges=0 "
     "family_info.level_kind=rate family_info.default_retry=0 family_info.try_factor=1.2 "
     "family_info.egress_per_s=1800.0 family_info.envelope=3.0 family_info.most_waiting=3600.0 "
     "family_info.pushes_allowed=30 family_info.messages_over=10000.0 family_info.push_delay=271.0 "
-    "family_info.late_most=677.5 family_info.period=500.0 family_info.empty_for=5000.0 "
+    "family_info.late_most=677.5 family_info.period=500.0 family_info.agents=6 family_info.empty_for=5000.0 "
     "guarantees.must_ask_in=10000.0 guarantees.drain_grace=3400.0 guarantees.warm_up=16000.0 "
     "guarantees.fall=3000.0 guarantees.start_capacity=0.27 guarantees.tip_multiple=4.0 "
-    "limits.may_probe=true something.new=1";
+    "limits.conn_idle=15000.0 limits.may_probe=true something.new=1";
 const std::string kSheet =
     "SHEET 0 2\nROW - north big in_service 2 0 11\nROW 6100.0 south big in_service 1.5 0 12\n";
 const std::string kStart = "MARK 8412.25\nINIT assigner_3 63 " + kSettings + "\n" + kSheet +
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "codec.h"
+#include "fairness.h"
 #include "fleet.h"
 
 namespace beamshunt::test {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -20,6 +20,8 @@
   s.egress_lines_per_s = 2000;
   s.envelope_lines = 3;
   s.most_waiting_lines = 4000;
+  s.proxies = 6;
+  s.conn_idle = Duration(15000);
   s.pushes_span = Duration(10000);
   s.push_delay = Duration(200);
   s.push_delay_most = Duration(500);
