Writes stop where the queue is full; expired probes alone eject nobody; tests at full size

A write takes what room its part of the queue leaves; what waits for departed proxies leaves at the channel's pace; unanswered probes count only where a report that was due did not come.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -69,8 +69,8 @@
 
 struct Brain::State {
   Settings set;
-  Duration tightest_slo = Duration::max();
-  ClassMask masks[2] = {0, 0};  // classes free to leave their locality; home-only ones
+  Duration slo = Duration::max();  // the tightest
+  ClassMask masks[2] = {0, 0};     // classes free to leave their locality; home-only ones
   std::map<EndpointId, Endpoint> endpoints;
   std::map<ProxyId, Proxy> proxies;
   std::map<GroupKey, Group> groups;
@@ -86,14 +86,14 @@
   double fleet_fails = 1;       // mean part of failed tries; 1: none heard of
   double report_gap = 0;        // ms
   std::vector<Action> out;
-  OrderChannel channel{set.envelope_lines, set.pushes_span};
+  OrderChannel channel{set};
 
   explicit State(Settings s) : set(std::move(s)) {
     rates.assign(set.classes.size(), kNoLimit);
     stay.assign(set.localities.size(), 1);
     taken.assign(set.localities.size(), 1);
     for (std::size_t c = 0; c < set.classes.size(); ++c) {
-      tightest_slo = std::min(tightest_slo, set.classes[c].slo);
+      slo = std::min(slo, set.classes[c].slo);
       masks[set.classes[c].home_only] |= ClassMask{1} << c;
     }
     set.default_retry = std::min(set.default_retry, RetryMode::after_proof);  // rule 2: what we order is ours
@@ -145,7 +145,7 @@
   void on(const ProxyLeft& e) {
     auto p = proxies.find(e.proxy);
     if (p == proxies.end()) return;
-    channel.forget(e.proxy);
+    channel.forget(e.proxy, now);
     if (p->second.bound) groups[p->second.group].leave(e.proxy, p->second.usual);
     proxies.erase(p);
   }
@@ -161,7 +161,8 @@
       double all = 0, here = 0;
       for (const auto& [id, ep] : endpoints)
         all += ep.open(), here += ep.open() && ep.listed.locality == p.group.locality;
-      int chunks = static_cast<int>(std::min(all / std::max(1.0, std::min(warm, fits)), here / kLinesLeast));
+      double least = (here < kLinesLeast ? all : here) / kLinesLeast;  // a lost locality has no say
+      int chunks = static_cast<int>(std::min(all / std::max(1.0, std::min(warm, fits)), least));
       if (chunks > 1) first.parts = kRounds * chunks;
     }
     for (int part = 1, parts = first.parts; part < parts; ++part) {
@@ -175,7 +176,8 @@
   // Once a stream, after all else of the batch: what the proxy holds is unknown, a full bind settles it. A
   // mass rejoin would overfill the channel (rule 5), so who finds no room there waits with what it holds.
   void bind_joined() {
-    for (; !unbound.empty() && channel.waiting() <= kBindPart * set.most_waiting_lines; unbound.pop_front()) {
+    for (; !unbound.empty() && channel.waiting(now) <= kBindPart * set.most_waiting_lines;
+         unbound.pop_front()) {
       auto p = proxies.find(unbound.front());
       if (p == proxies.end() || p->second.bound) continue;
       Group& group = choose_part(p->second);
@@ -185,7 +187,7 @@
       group.enter(p->first, p->second.usual);
       if (group.users.size() == 1) {
         for (auto& [home, table] : group.tables) table.want = dealt_lines(p->second.group, group, home);
-        write_group(p->second.group, group, false);
+        write_group(p->second.group, group, false, kOpenRate);
       }
       for (auto& [home, table] : group.tables) {
         channel.add(p->first, 1.0 + static_cast<double>(table.sent.size() + set.classes.size()));
@@ -214,7 +216,7 @@
     smooth(ep.steady, e.latency.count(), good / (good + kSteadyTries), ep.answered == 0);
     ep.answered += good, ep.news += good;
     if (ep.answered >= kBaseTries)
-      ep.base = std::min(ep.base > 0 ? ep.base : kBaseMost * tightest_slo.count(), ep.steady);
+      ep.base = std::min(ep.base > 0 ? ep.base : kBaseMost * slo.count(), ep.steady);
   }
 
   void on(const ProxyUsage& e) {
@@ -277,9 +279,7 @@
   }
 
   // An unheard endpoint counts as average, by having no say: its last figure may be long out of date.
-  bool counts(const Endpoint& ep) const {
-    return ep.open() && ep.base > 0 && now - ep.heard < kUnheard * gap();
-  }
+  bool counts(const Endpoint& e) const { return e.open() && e.base > 0 && now - e.heard < kUnheard * gap(); }
 
   double fail_share(const Endpoint& ep) const {
     double bad = 0, tries = 0;
@@ -293,9 +293,8 @@
     return ep.base <= 0 ? 1 : ep.latency / ep.base / std::max(kAnsweredSlow, 1 - fail_share(ep));
   }
 
-  double threshold(const Endpoint& ep) const {  // T, by the SLO and the endpoint's own baseline
-    return 1 + kTSloPart * tightest_slo.count() / std::max(ep.base, 1.0);
-  }
+  // T, by the SLO and the endpoint's own baseline.
+  double threshold(const Endpoint& e) const { return 1 + kTSloPart * slo.count() / std::max(e.base, 1.0); }
 
   // The part of an endpoint's room that is free: by load reports, else by how far its queueing is from T's.
   double headroom(const Endpoint& ep) const {
@@ -356,8 +355,7 @@
     double mean = mean_of(&State::slowdown, 1);
     for (auto& [id, ep] : endpoints) {
       double off = counts(ep) ? std::max(slowdown(ep), 0.01) / mean : 1;
-      double sure = ep.news / (ep.news + kLatencyTries);  // a few tries say little, and none nothing new
-      ep.news = 0;
+      double news = std::exchange(ep.news, 0), sure = news / (news + kLatencyTries);  // few tries say little
       if (off < 1 + kDeadBand && off > 1 / (1 + kDeadBand)) off = 1;
       // It fades: a baseline that chance set low would make an endpoint look slow, and drain it, for good.
       ep.nudge = std::clamp(std::pow(ep.nudge, kNudgeKeep) * std::pow(off, -kWeightGain * sure), kNudgeMin,
@@ -391,13 +389,14 @@
         continue;
       }
       double others = all_tries - path.tries(), others_bad = others > 0 ? (all_bad - path.bad) / others : 0;
-      bool gone = reached && ep.listed.locality == from && ep.probes <= -kProbes &&
-                  now - path.last_good >= kBarren * set.period + gap();
+      // Probes may expire at a server that is only busy: they count where reports that were due did not come.
+      Duration due = std::max(kBarren * set.period + gap(), kBarren * gap());
+      bool gone = reached && ep.listed.locality == from && ep.probes <= -kProbes && path.heard > kLongAgo &&
+                  now - path.last_good >= due;
       bool barren = path.heard - path.last_good >= kBarren * set.period && path.bad >= kFailsLeast;
       if (!(gone || barren) || others_bad > kCommonBad) continue;
       if (healthy - ep.listed.size < kPanic * listed) continue;
-      healthy -= ep.listed.size;
-      path.ejected = true;
+      healthy -= ep.listed.size, path.ejected = true;
       path.until = now + kEjectLeast * std::exp2(std::min(path.ejections++, kEjectDoublings));
       ep.probes = std::min(ep.probes, 0);
       const char* why = gone ? ", no probe answered, seen from " : ", tries fail, seen from ";
@@ -593,25 +592,11 @@
   // ---- Pace of orders ----
   static bool moved(double from, double to) { return std::abs(to - from) > kMoved * std::max(from, 1e-9); }
 
-  // Writes what has moved; if only what is urgent: lines that must go or halve at once, as their endpoint is
-  // draining, gone, ejected or restarted cold, and lines in their place.
-  void write_group(const GroupKey& key, Group& group, bool urgent) {
+  // Writes what has moved, as far as there is room (rule 5; the rest follows); if only what is urgent,
+  // lines that must go or halve (draining, gone, ejected, restarted cold endpoints) and lines in their place.
+  void write_group(const GroupKey& key, Group& group, bool urgent, double room) {
     std::size_t before = out.size();
-    for (auto& [home, table] : group.tables) {
-      std::erase_if(table.sent, [&](auto& line) {
-        bool stays = table.want.contains(line.first) ||
-                     (urgent && strength(endpoints.at(line.first), key.locality) > 0);
-        if (!stays) out.push_back(SetLine{table.id, line.first, 0});
-        return !stays;
-      });
-      bool gone = out.size() > before;
-      for (auto& [id, w] : table.want) {
-        double had = table.sent.contains(id) ? table.sent[id] : 0;
-        if (!moved(had, w) || (urgent && (had > 0 ? w > had / 2 : !gone))) continue;
-        table.sent[id] = w;
-        out.push_back(SetLine{table.id, id, w});
-      }
-    }
+    auto full = [&] { return static_cast<double>(out.size() - before) >= room; };
     group.levels.resize(set.classes.size(), {-1, RetryMode::never});
     for (std::size_t c = 0; c < set.classes.size() && !urgent; ++c) {
       auto& had = group.levels[c];
@@ -621,6 +606,20 @@
       TableId table = group.tables.at(set.classes[c].home_only).id;
       out.push_back(Admit{table, false, ClassMask{1} << c, want.first, want.second});
     }
+    for (auto& [home, table] : group.tables) {
+      bool gone = std::erase_if(table.sent, [&](auto& line) {
+                    if (table.want.contains(line.first) || full()) return false;
+                    if (urgent && strength(endpoints.at(line.first), key.locality) > 0) return false;
+                    out.push_back(SetLine{table.id, line.first, 0});
+                    return true;
+                  }) > 0;
+      for (auto& [id, w] : table.want) {
+        double had = table.sent.contains(id) ? table.sent[id] : 0;
+        if (full() || !moved(had, w) || (urgent && (had > 0 ? w > had / 2 : !gone))) continue;
+        table.sent[id] = w;
+        out.push_back(SetLine{table.id, id, w});
+      }
+    }
     if (out.size() == before) return;
     for (ProxyId id : group.users) channel.add(id, static_cast<double>(out.size() - before));
     (urgent ? group.last_urgent : group.last_push) = now;
@@ -635,11 +634,12 @@
       for (auto& [key, group] : groups) {
         double most = 0;
         for (ProxyId id : group.users) most = std::max(most, channel.messages(id, now));
-        bool room = channel.waiting() <= (urgent ? kUrgentPart : kQueuePart) * set.most_waiting_lines;
+        double part = (urgent ? kUrgentPart : kQueuePart) * set.most_waiting_lines - channel.waiting(now);
+        double room = part / static_cast<double>(group.users.size()) - set.envelope_lines - 1;
         bool due = most <= allowed * (urgent ? kUrgentPart : kPushPart)
                        ? urgent || now - group.last_push >= gap
                        : urgent && now - std::max(group.last_push, group.last_urgent) >= least;
-        if (room && due && !group.users.empty()) write_group(key, group, urgent);
+        if (due && room >= 1 && !group.users.empty()) write_group(key, group, urgent, room);
       }
   }
 
--- a/src/channel.h
+++ b/src/channel.h
@@ -16,10 +16,11 @@
 
 class OrderChannel {
  public:
-  OrderChannel(double envelope_lines, Duration span) : overhead_(envelope_lines + 1), span_(span) {}
+  explicit OrderChannel(const Settings& set)
+      : overhead_(set.envelope_lines + 1), lines_per_s_(set.egress_lines_per_s), span_(set.pushes_span) {}
 
-  // Lines, at most: sent and not yet confirmed as applied.
-  double waiting() const { return waiting_; }
+  // Lines, at most: sent and not yet confirmed as applied, or still to go out to proxies that have left.
+  double waiting(Time now) const { return waiting_ + orphaned(now); }
 
   // Messages to a proxy within the span, one more included.
   double messages(ProxyId proxy, Time now) {
@@ -58,13 +59,14 @@
     queue.erase(queue.begin(), hit + 1);
   }
 
-  // The stream is gone and with it what was on its way.
-  void forget(ProxyId proxy) {
-    auto found = sent_.find(proxy);
-    if (found != sent_.end())
-      for (auto& [serial, lines] : found->second.unconfirmed) waiting_ -= lines;
+  // The stream is gone: nothing more is confirmed, but what waits in the channel takes its time to leave.
+  void forget(ProxyId proxy, Time now) {
     if (auto open = open_.extract(proxy)) waiting_ -= open.mapped();
-    sent_.erase(proxy);
+    auto found = sent_.find(proxy);
+    if (found == sent_.end()) return;
+    orphans_ = orphaned(now), orphans_at_ = now;
+    for (auto& [serial, lines] : found->second.unconfirmed) waiting_ -= lines, orphans_ += lines;
+    sent_.erase(found);
   }
 
  private:
@@ -72,7 +74,12 @@
     std::deque<std::pair<std::uint32_t, double>> unconfirmed;  // serial and lines
     std::deque<Time> times;                                    // of messages within the span
   };
-  double overhead_, waiting_ = 0;
+  double orphaned(Time now) const {
+    return std::max(0.0, orphans_ - lines_per_s_ * ((now - orphans_at_) / Duration(1000)));
+  }
+
+  double overhead_, lines_per_s_, waiting_ = 0, orphans_ = 0;
+  Time orphans_at_{};
   Duration span_;
   std::uint16_t serial_ = 0;  // the wire's barriers have so many bits
   std::map<ProxyId, Sent> sent_;
--- /dev/null
+++ b/tests/scale_test.cpp
@@ -0,0 +1,265 @@
+// The module at full size: many endpoints and proxies, one channel, reports that come seldom.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "channel.h"
+#include "fleet.h"
+
+namespace beamshunt::test {
+namespace {
+
+vector<ListedEndpoint> many(unsigned each_zone) {
+  vector<ListedEndpoint> entries;
+  for (unsigned k = 0; k < each_zone; ++k)
+    entries.push_back(endpoint(1000 + k, 0)), entries.push_back(endpoint(5000 + k, 1));
+  return entries;
+}
+
+Settings large_settings(int proxies) {
+  Settings s = two_zone_settings();
+  s.proxies = proxies;
+  return s;
+}
+
+void join_all(Fleet& f, unsigned proxies, double rate) {
+  vector<Event> events;
+  for (unsigned p = 0; p < proxies; ++p) {
+    f.zones[p] = p % 2;
+    events.push_back(ProxyJoined{ProxyId(p), Locality(p % 2), rate, true});
+  }
+  f.send(events);
+}
+
+// Reports of an endpoint come every eighth period only, and then of all eight.
+template <typename Heard>
+auto seldom(int& period, Heard heard_of) {
+  return [&period, heard_of](const ListedEndpoint& e) {
+    if ((static_cast<unsigned>(e.id) + static_cast<unsigned>(period)) % 8 != 0)
+      return vector<EndpointHeard>{};
+    EndpointHeard h = heard_of(e);
+    h.span = Duration(4000);
+    return vector{h};
+  };
+}
+
+Settings channel_settings() {
+  Settings s;
+  s.envelope_lines = 3;
+  s.egress_lines_per_s = 1000;
+  s.pushes_span = Duration(10000);
+  return s;
+}
+
+TEST(Channel, CountsWhatIsNotConfirmed) {
+  OrderChannel channel(channel_settings());
+  Time now{Duration(700)};
+  channel.add(ProxyId(1), 5);
+  channel.add(ProxyId(1), 2);
+  channel.add(ProxyId(2), 1);
+  EXPECT_EQ(channel.waiting(now), 8 + 4 * 2);
+  auto first = channel.close(Time(Duration(0)));
+  EXPECT_FALSE(channel.close(Time(Duration(0))));
+  channel.add(ProxyId(1), 6);
+  auto second = channel.close(Time(Duration(500)));
+  ASSERT_TRUE(first && second);
+  EXPECT_EQ(channel.messages(ProxyId(1), Time(Duration(600))), 3);
+  EXPECT_EQ(channel.messages(ProxyId(1), Time(Duration(10400))), 2);
+  channel.applied(ProxyId(1), *second);  // the later one confirms the earlier too
+  EXPECT_EQ(channel.waiting(now), 5);
+  channel.applied(ProxyId(1), *first);
+  channel.applied(ProxyId(9), *first);
+  EXPECT_EQ(channel.waiting(now), 5);
+}
+
+// Danger: the queue still holds what was ordered for proxies that left, while they join and are bound anew.
+TEST(Channel, WhatWaitsForTheDepartedLeavesAtTheChannelsPace) {
+  OrderChannel channel(channel_settings());
+  Time now{Duration(0)};
+  channel.add(ProxyId(1), 496);
+  channel.close(now);
+  channel.add(ProxyId(1), 96);
+  channel.forget(ProxyId(1), now);
+  EXPECT_FALSE(channel.close(now)) << "its open message is not sent";
+  EXPECT_EQ(channel.waiting(now), 500);
+  EXPECT_EQ(channel.waiting(now + Duration(300)), 200);
+  EXPECT_EQ(channel.waiting(now + Duration(900)), 0);
+}
+
+// Danger: binds of hundreds of proxies that join at once, each with its whole table, overfill the channel.
+TEST(Scale, AMassJoinStaysWithinTheQueueAndAllAreBoundInTheEnd) {
+  Fleet f(large_settings(300));
+  f.start(many(60));
+  join_all(f, 300, 4);
+  std::size_t binds = Fleet::only<Bind>(f.last).size();
+  double lines = 0;
+  for (unsigned p = 0; p < binds; ++p) lines += static_cast<double>(f.lines(p, 0).size());
+  EXPECT_GT(binds, 0u);
+  EXPECT_LT(binds, 300u);
+  EXPECT_LT(lines + 6.0 * static_cast<double>(binds), f.settings.most_waiting_lines);
+  f.send({TimerFired{}});
+  EXPECT_TRUE(Fleet::only<Bind>(f.last).empty()) << "nothing is confirmed, so there is no room";
+  f.run(
+      8, [](const ListedEndpoint& e) { return vector{heard(e, 20, 0, 100)}; }, 2, 1);
+  for (unsigned p = 0; p < 300; ++p) EXPECT_TRUE(f.bound.contains({p, 0})) << p;
+}
+
+TEST(Scale, TablesAreShortFewAndShareTheEndpointsEvenly) {
+  Fleet f(large_settings(300));
+  f.start(many(60));
+  join_all(f, 300, 4);
+  f.run(
+      12, [](const ListedEndpoint& e) { return vector{heard(e, 20, 0, 100)}; }, 2, 1);
+  std::map<EndpointId, double> load;
+  for (unsigned p = 0; p < 300; ++p) {
+    double sum = 0;
+    for (auto& [id, w] : f.lines(p, 0)) sum += w;
+    for (auto& [id, w] : f.lines(p, 0)) load[id] += w / sum;
+    EXPECT_LE(f.lines(p, 0).size(), 25u);
+    EXPECT_GE(f.lines(p, 0).size(), 8u);
+  }
+  EXPECT_LE(f.tables.size(), 300 * 0.35);
+  ASSERT_EQ(load.size(), 120u) << "each endpoint is in some table";
+  for (auto& [id, l] : load) EXPECT_NEAR(l, 300 / 120.0, 0.25 * 300 / 120.0);
+}
+
+TEST(Scale, ASmallSiteKeepsWholeTables) {
+  Fleet f(large_settings(6));
+  f.start(many(10));
+  join_all(f, 6, 10);
+  EXPECT_EQ(f.lines(0, 0).size(), 10u);
+}
+
+// Danger: with the list trickling, every change is urgent, and a proxy gets more messages than it may.
+TEST(Scale, TricklingDrainsKeepTheGraceAndTheMessageLimit) {
+  Settings s = large_settings(6);
+  s.pushes_allowed = 12;
+  Fleet f(s);
+  f.start(many(20));
+  join_all(f, 6, 10);
+  auto fine = [](const ListedEndpoint& e) { return vector{heard(e, 20, 0, 100)}; };
+  f.run(20, fine);
+  int before = f.messages[0];
+  for (unsigned k = 0; k < 15; ++k) {
+    ListedEndpoint gone = endpoint(1000 + k, 0);
+    gone.state = EndpointState::terminated;
+    f.send({EndpointList{ListKind::incremental, {gone}}});
+    f.run(1, fine);
+    EXPECT_EQ(f.line(0, 0, 1000 + std::max(k, 3u) - 3), k < 3 ? f.line(0, 0, 1000) : 0) << "three periods on";
+  }
+  EXPECT_LE(f.messages[0] - before, s.pushes_allowed);
+}
+
+// Danger: between two reports of a large fleet lie periods without a good answer; they are no evidence.
+TEST(Scale, SeldomReportsWithSomeFailuresEjectNobody) {
+  Fleet f(large_settings(40));
+  f.start(many(20));
+  join_all(f, 40, 4);
+  for (int i = 0; i < 40; ++i) {
+    f.run(1, seldom(i, [](const ListedEndpoint& e) { return heard(e, 40, 8, 100); }), 2, 1);
+    ASSERT_TRUE(Fleet::only<Remark>(f.last).empty());
+  }
+}
+
+// Danger: deep probes expire at a busy server that answers its requests, long before it is first reported on.
+TEST(Scale, ExpiredProbesAloneEjectNobody) {
+  Fleet f(large_settings(40));
+  f.start(many(20));
+  join_all(f, 40, 4);
+  for (int i = 0; i < 40; ++i) {
+    f.send({ProbeResult{EndpointId(1003), Outcome::expired, Duration(400), {}},
+            ProbeResult{EndpointId(1004), Outcome::delivered, Duration(5), {}}});
+    f.run(1, seldom(i, [](const ListedEndpoint& e) { return heard(e, 40, 0, 400); }), 2, 1);
+    ASSERT_TRUE(Fleet::only<Remark>(f.last).empty());
+  }
+}
+
+// Danger: one write to the many proxies of a long table overfills the queue.
+TEST(Scale, AWriteStopsWhereItsPartOfTheQueueIsFull) {
+  Settings s = large_settings(6);  // the site says few proxies, so tables are whole; many come
+  s.most_waiting_lines = 1500;
+  Fleet f(s);
+  f.start(many(30));
+  auto fine = [](const ListedEndpoint& e) { return vector{heard(e, 20, 0, 100)}; };
+  for (unsigned p = 0; p < 60; ++p) {
+    f.join(p, p % 2, 20);
+    f.run(1, fine);
+  }
+  f.listed = many(90);
+  f.send({EndpointList{ListKind::total, f.listed}});
+  double lines = static_cast<double>(Fleet::only<SetLine>(f.last).size() + 4) * 30;
+  EXPECT_LE(lines, 1500);
+  f.run(60, fine);
+  EXPECT_EQ(f.lines(0, 0).size(), 90u) << "the rest follows";
+}
+
+TEST(Scale, ADeadServerIsEjectedByOneLateReport) {
+  Fleet f(large_settings(40));
+  f.start(many(20));
+  join_all(f, 40, 4);
+  int ejected = 0;
+  for (int i = 0; i < 40; ++i) {
+    f.run(1,
+          seldom(i,
+                 [i](const ListedEndpoint& e) {
+                   return heard(e, 40, i > 16 && e.id == EndpointId(1003) ? 40 : 0, 100);
+                 }),
+          2, 1);
+    ejected += static_cast<int>(Fleet::only<Remark>(f.last).size());
+  }
+  EXPECT_EQ(ejected, 1);
+  for (unsigned p = 0; p < 40; p += 2) EXPECT_EQ(f.line(p, 0, 1003), 0);
+}
+
+// Danger: the noise of a few tries, taken for new at every step, makes weights wander.
+TEST(Scale, FewTriesHeardOfSeldomLeaveWeightsNearTheirSize) {
+  Fleet f(large_settings(40));
+  f.start(many(20));
+  join_all(f, 40, 4);
+  unsigned noise = 1;
+  for (int i = 0; i < 120; ++i) {
+    auto noisy = [&noise](const ListedEndpoint& e) {
+      noise = noise * 1664525 + 1013904223;
+      return heard(e, 8, 0, 60 + 80 * (noise >> 16) / 65536.0);
+    };
+    f.run(1, seldom(i, noisy), 2, 1);
+  }
+  for (auto& [id, w] : f.lines(0, 0)) EXPECT_NEAR(w, 2, 0.6);
+}
+
+// Danger: a controller that serves one locality's proxies takes the other for idle and floods it.
+class LocalOnly : public ::testing::Test {
+ protected:
+  Fleet after(double busy_here, double busy_there) {
+    Settings s = large_settings(4);
+    s.local_proxies_only = true;
+    Fleet f(s);
+    f.start(many(4));
+    for (unsigned p = 0; p < 2; ++p) f.join(p, 0, 20);
+    f.run(30, [&](const ListedEndpoint& e) {
+      EndpointHeard h = heard(e, 20, 0, 100);
+      h.load = {{"utilization", e.locality == Locality(0) ? busy_here : busy_there}};
+      return vector{h};
+    });
+    return f;
+  }
+};
+TEST_F(LocalOnly, SpillsFromAFullLocalityToOneWithRoom) { EXPECT_GT(after(0.95, 0.3).line(0, 0, 5001), 0); }
+TEST_F(LocalOnly, KeepsAtHomeWhenTheOtherIsAsFull) { EXPECT_EQ(after(0.95, 0.95).line(0, 0, 5001), 0); }
+TEST_F(LocalOnly, KeepsAtHomeWithRoomAtHome) { EXPECT_EQ(after(0.4, 0.05).line(0, 0, 5001), 0); }
+
+TEST(Scale, AnEmptyListAndTenTimesTheFleetAreServed) {
+  Fleet f(large_settings(300));
+  f.start({});
+  join_all(f, 50, 4);
+  f.run(
+      4, [](const ListedEndpoint& e) { return vector{heard(e, 20, 0, 100)}; }, 2, 1);
+  f.listed = many(600);
+  f.send({EndpointList{ListKind::total, f.listed}});
+  f.run(
+      8, [](const ListedEndpoint& e) { return vector{heard(e, 5, 0, 100)}; }, 2, 1);
+  for (unsigned p = 0; p < 50; ++p) EXPECT_FALSE(f.lines(p, 0).empty());
+}
+
+}  // namespace
+}  // namespace beamshunt::test
