Read-through: wanted lines made once a locality, not once a table

Every table of a locality worked out the same wanted lines anew at each plan; they are made once now and dealt to all. Levels take the group at hand instead of looking it up by its key, what may still be ejected is one figure, a record name for a table's lines, and the large-fleet tests share their set-up.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -186,7 +186,8 @@
       p->second.bound = true;
       group.enter(p->first, p->second.usual);
       if (group.users.size() == 1) {
-        for (auto& [home, table] : group.tables) table.want = dealt_lines(p->second.group, group, home);
+        for (auto& [home, table] : group.tables)
+          table.want = dealt_lines(p->second.group, group, wanted_lines(p->second.group.locality, home));
         write_group(p->second.group, group, false, kOpenRate);
       }
       for (auto& [home, table] : group.tables) {
@@ -255,11 +256,9 @@
     };
     for (auto& [id, ep] : endpoints)
       if (known(ep)) speed += ep.served / ep.busy, size += ep.listed.size;
-    for (auto& [id, ep] : endpoints) {
-      if (!known(ep)) continue;
-      double sample = ep.served / ep.busy / ep.listed.size * size / speed;
-      smooth(ep.speed, std::clamp(sample, kSpeedLeast, kSpeedMost), kSpeedSmoothing);
-    }
+    auto sample = [&](const Endpoint& ep) { return ep.served / ep.busy / ep.listed.size * size / speed; };
+    for (auto& [id, ep] : endpoints)
+      if (known(ep)) smooth(ep.speed, std::clamp(sample(ep), kSpeedLeast, kSpeedMost), kSpeedSmoothing);
   }
 
   // Requests a second of a class that a proxy lets in; unheard, as announced: as idle it would not spill.
@@ -370,12 +369,11 @@
   }
 
   void judge_health(Locality from) {
-    double all_bad = 0, all_tries = 0, listed = 0, healthy = 0;
+    double all_bad = 0, all_tries = 0, spare = 0;  // spare: listed size that may still be ejected
     bool reached = false;  // by probes: silence there is the endpoint's, not the way's
     for (auto& [id, ep] : endpoints) {
       if (!ep.open()) continue;
-      listed += ep.listed.size;
-      if (!ejected(ep, from)) healthy += ep.listed.size;
+      spare += ep.listed.size * (ejected(ep, from) ? -kPanic : 1 - kPanic);
       reached |= ep.listed.locality == from && ep.probes > 0;
       if (auto p = ep.paths.find(from); p != ep.paths.end() && !p->second.ejected)
         all_bad += p->second.bad, all_tries += p->second.tries();
@@ -394,9 +392,8 @@
       bool gone = reached && ep.listed.locality == from && ep.probes <= -kProbes && path.heard > kLongAgo &&
                   now - path.last_good >= due;
       bool barren = path.heard - path.last_good >= kBarren * set.period && path.bad >= kFailsLeast;
-      if (!(gone || barren) || others_bad > kCommonBad) continue;
-      if (healthy - ep.listed.size < kPanic * listed) continue;
-      healthy -= ep.listed.size, path.ejected = true;
+      if (!(gone || barren) || others_bad > kCommonBad || ep.listed.size > spare) continue;
+      spare -= ep.listed.size, path.ejected = true;
       path.until = now + kEjectLeast * std::exp2(std::min(path.ejections++, kEjectDoublings));
       ep.probes = std::min(ep.probes, 0);
       const char* why = gone ? ", no probe answered, seen from " : ", tries fail, seen from ";
@@ -433,8 +430,7 @@
   }
 
   double strength(const Endpoint& ep, Locality from) const {
-    if (!ep.open() || ejected(ep, from)) return 0;
-    double r = ramp(ep);
+    double r = !ep.open() || ejected(ep, from) ? 0 : ramp(ep);
     // Rule 4 in a jam: the fleet's overload, repeats and all, would come to a cold endpoint as well. It waits
     // until the others no longer fail or nothing else is left; a controller just started knows no calm yet.
     return r < 1 && fleet_fails > kCommonBad ? 0 : ep.listed.size * ep.speed * r;
@@ -461,7 +457,7 @@
   }
 
   // Local endpoints by strength; a locality's load over the fleet's mean goes to the localities under it.
-  std::map<EndpointId, double> wanted_lines(Locality own, bool home) const {
+  Lines wanted_lines(Locality own, bool home) const {
     std::size_t zones = set.localities.size(), here = at(own);
     std::vector<double> strong(zones, 0), load = taken, factor(zones, 0);  // factor: weight of a strength
     double all_strong = 0, all_load = 0, all_spare = 0;
@@ -481,7 +477,7 @@
       for (std::size_t z = 0; z < zones; ++z)
         if (double spare = strong[z] * mean - load[z]; z != here && spare > 0)
           factor[z] = (1 - kept) / kept * spare / all_spare / strong[z] * strong[here];
-    std::map<EndpointId, double> lines;
+    Lines lines;
     for (const auto& [id, ep] : endpoints)
       if (double w = strength(ep, own) * factor[at(ep.listed.locality)]; w > 0)
         lines[id] = w * (ramp(ep) < 1 ? std::min(1.0, ep.nudge) : ep.nudge);
@@ -493,9 +489,9 @@
 
   // The part of the wanted lines that one table of a band holds: in each round all endpoints of a locality,
   // in an order of the round's own, are cut into chunks of one table each.
-  std::map<EndpointId, double> dealt_lines(const GroupKey& key, const Group& group, bool home) const {
-    std::map<EndpointId, double> all = wanted_lines(key.locality, home), part;
+  Lines dealt_lines(const GroupKey& key, const Group& group, const Lines& all) const {
     if (group.parts <= 1) return all;
+    Lines part;
     auto round = static_cast<std::uint32_t>(key.part % kRounds);
     std::size_t chunk = at(key.part) / kRounds, chunks = at(group.parts) / kRounds;
     std::map<Locality, std::vector<std::pair<std::uint32_t, EndpointId>>> order;
@@ -504,7 +500,7 @@
     for (auto& [z, ids] : order) {
       std::sort(ids.begin(), ids.end());
       for (std::size_t k = 0; k < ids.size(); ++k)
-        if (k * chunks / ids.size() == chunk) part[ids[k].second] = all[ids[k].second];
+        if (k * chunks / ids.size() == chunk) part[ids[k].second] = all.at(ids[k].second);
     }
     return part.empty() ? all : part;
   }
@@ -512,8 +508,13 @@
   // What every table should hold. Tables that share endpoints differ in what their proxies bring: each line
   // is scaled, a few times over, by its endpoint's due over what all tables together would send to it.
   void plan_tables() {
+    std::map<std::pair<Locality, bool>, Lines> wanted;  // the same for all tables of a locality
     for (auto& [key, group] : groups)
-      for (auto& [home, table] : group.tables) table.want = dealt_lines(key, group, home);
+      for (auto& [home, table] : group.tables) {
+        auto [all, fresh] = wanted.try_emplace({key.locality, home});
+        if (fresh) all->second = wanted_lines(key.locality, home);
+        table.want = dealt_lines(key, group, all->second);
+      }
     for (int k = 0; k < kEvenings; ++k) {
       std::map<EndpointId, double> load;
       std::map<Locality, double> all_load, all_due;
@@ -559,16 +560,16 @@
   // ---- Levels ----
   double open_level() const { return set.level_kind == LevelKind::rate ? kOpenRate : 1; }
 
-  double wanted_level(const GroupKey& key, std::size_t c) const {
+  double wanted_level(Locality own, const Group& group, std::size_t c) const {
     if (set.level_kind == LevelKind::none) return open_level();
-    return std::min({open_level(), shared_level(key, c), cold_level(key, set.classes[c].home_only)});
+    return std::min({open_level(), shared_level(group, c), cold_level(own, group, set.classes[c].home_only)});
   }
 
   // The class's rate, split over bands by throughput and within the band max-min to a rate at each proxy.
-  double shared_level(const GroupKey& key, std::size_t c) const {
+  double shared_level(const Group& group, std::size_t c) const {
     double all = demand.of_class(c), band = 0;
     std::vector<double> came;
-    for (ProxyId id : groups.at(key).users)
+    for (ProxyId id : group.users)
       band += admitted(proxies.at(id), c), came.push_back(proxies.at(id).came[c]);
     if (rates[c] == kNoLimit || all <= 0 || came.empty()) return kOpenRate;
     if (set.level_kind == LevelKind::share) return rates[c] / all;
@@ -579,11 +580,10 @@
 
   // Rule 4 where weights can't help: while all that a table may use is cold (a home-only class, its locality
   // back from a loss), its proxies let in an even part of their usual rate, times the guaranteed capacity.
-  double cold_level(const GroupKey& key, bool home) const {
+  double cold_level(Locality own, const Group& group, bool home) const {
     double warmest = 0;
-    const Group& group = groups.at(key);
     for (const auto& [id, ep] : endpoints)
-      if (ep.open() && (!home || ep.listed.locality == key.locality)) warmest = std::max(warmest, ramp(ep));
+      if (ep.open() && (!home || ep.listed.locality == own)) warmest = std::max(warmest, ramp(ep));
     if (set.level_kind != LevelKind::rate || warmest >= 1 || warmest <= 0 || group.users.empty())
       return kOpenRate;
     return group.usual * warmest / static_cast<double>(group.users.size() * set.classes.size());
@@ -600,7 +600,7 @@
     group.levels.resize(set.classes.size(), {-1, RetryMode::never});
     for (std::size_t c = 0; c < set.classes.size() && !urgent; ++c) {
       auto& had = group.levels[c];
-      std::pair want{wanted_level(key, c), retry_mode(set.classes[c])};
+      std::pair want{wanted_level(key.locality, group, c), retry_mode(set.classes[c])};
       if (had.first >= 0 && had.second == want.second && !moved(had.first, want.first)) continue;
       had = want;
       TableId table = group.tables.at(set.classes[c].home_only).id;
@@ -693,7 +693,6 @@
 
   std::vector<Action> handle(Time time, const std::vector<Event>& events) {
     now = time;
-    out.clear();
     for (const Event& e : events) std::visit([&](const auto& x) { on(x); }, e);
     follow_list();
     bool period = now >= next_period;
@@ -719,7 +718,7 @@
       bind_joined();
       if (auto serial = channel.close(now)) out.push_back(Barrier{*serial, false});
     }
-    return std::move(out);
+    return std::exchange(out, {});
   }
 };
 
--- a/src/state.h
+++ b/src/state.h
@@ -67,9 +67,11 @@
   std::vector<double> came;  // requests a second by class, smoothed; below 0: not heard of
 };
 
+using Lines = std::map<EndpointId, double>;  // weights
+
 struct Table {
   TableId id{};
-  std::map<EndpointId, double> want, sent;
+  Lines want, sent;
 };
 
 struct Group {
@@ -108,7 +110,7 @@
 };
 
 struct Slice {
-  std::map<EndpointId, double> lines;
+  Lines lines;
   bool stopped = false;
   Time move_at{};
 };
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -31,6 +31,14 @@
   f.send(events);
 }
 
+// `proxies` in two localities of `each_zone` endpoints, all joined at once.
+Fleet joined(unsigned proxies, unsigned each_zone, double rate = 4) {
+  Fleet f(large_settings(static_cast<int>(proxies)));
+  f.start(many(each_zone));
+  join_all(f, proxies, rate);
+  return f;
+}
+
 // Reports of an endpoint come every eighth period only, and then of all eight.
 template <typename Heard>
 auto seldom(int& period, Heard heard_of) {
@@ -88,9 +96,7 @@
 
 // Danger: binds of hundreds of proxies that join at once, each with its whole table, overfill the channel.
 TEST(Scale, AMassJoinStaysWithinTheQueueAndAllAreBoundInTheEnd) {
-  Fleet f(large_settings(300));
-  f.start(many(60));
-  join_all(f, 300, 4);
+  Fleet f = joined(300, 60);
   std::size_t binds = Fleet::only<Bind>(f.last).size();
   double lines = 0;
   for (unsigned p = 0; p < binds; ++p) lines += static_cast<double>(f.lines(p, 0).size());
@@ -105,9 +111,7 @@
 }
 
 TEST(Scale, TablesAreShortFewAndShareTheEndpointsEvenly) {
-  Fleet f(large_settings(300));
-  f.start(many(60));
-  join_all(f, 300, 4);
+  Fleet f = joined(300, 60);
   f.run(
       12, [](const ListedEndpoint& e) { return vector{heard(e, 20, 0, 100)}; }, 2, 1);
   std::map<EndpointId, double> load;
@@ -124,9 +128,7 @@
 }
 
 TEST(Scale, ASmallSiteKeepsWholeTables) {
-  Fleet f(large_settings(6));
-  f.start(many(10));
-  join_all(f, 6, 10);
+  Fleet f = joined(6, 10, 10);
   EXPECT_EQ(f.lines(0, 0).size(), 10u);
 }
 
@@ -152,9 +154,7 @@
 
 // Danger: between two reports of a large fleet lie periods without a good answer; they are no evidence.
 TEST(Scale, SeldomReportsWithSomeFailuresEjectNobody) {
-  Fleet f(large_settings(40));
-  f.start(many(20));
-  join_all(f, 40, 4);
+  Fleet f = joined(40, 20);
   for (int i = 0; i < 40; ++i) {
     f.run(1, seldom(i, [](const ListedEndpoint& e) { return heard(e, 40, 8, 100); }), 2, 1);
     ASSERT_TRUE(Fleet::only<Remark>(f.last).empty());
@@ -163,9 +163,7 @@
 
 // Danger: deep probes expire at a busy server that answers its requests, long before it is first reported on.
 TEST(Scale, ExpiredProbesAloneEjectNobody) {
-  Fleet f(large_settings(40));
-  f.start(many(20));
-  join_all(f, 40, 4);
+  Fleet f = joined(40, 20);
   for (int i = 0; i < 40; ++i) {
     f.send({ProbeResult{EndpointId(1003), Outcome::expired, Duration(400), {}},
             ProbeResult{EndpointId(1004), Outcome::delivered, Duration(5), {}}});
@@ -195,9 +193,7 @@
 
 // Danger: full size of a restarted server is assumed anew, and it is pushed over while it is cold.
 TEST(Scale, ARestartKeepsTheSpeedLearned) {
-  Fleet f(large_settings(4));
-  f.start(many(4));
-  join_all(f, 4, 20);
+  Fleet f = joined(4, 4, 20);
   auto slow_kind = [](const ListedEndpoint& e) {
     EndpointHeard h = heard(e, e.id == EndpointId(1001) ? 10 : 20, 0, 100);
     h.load = {{"utilization", 0.6}};
@@ -212,9 +208,7 @@
 }
 
 TEST(Scale, ADeadServerIsEjectedByOneLateReport) {
-  Fleet f(large_settings(40));
-  f.start(many(20));
-  join_all(f, 40, 4);
+  Fleet f = joined(40, 20);
   int ejected = 0;
   for (int i = 0; i < 40; ++i) {
     f.run(1,
@@ -231,9 +225,7 @@
 
 // Danger: the noise of a few tries, taken for new at every step, makes weights wander.
 TEST(Scale, FewTriesHeardOfSeldomLeaveWeightsNearTheirSize) {
-  Fleet f(large_settings(40));
-  f.start(many(20));
-  join_all(f, 40, 4);
+  Fleet f = joined(40, 20);
   unsigned noise = 1;
   for (int i = 0; i < 120; ++i) {
     auto noisy = [&noise](const ListedEndpoint& e) {
