--- a/src/day/player.cpp
+++ b/src/day/player.cpp
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <memory>
 #include <random>
+#include <set>
 #include <stdexcept>
 
 #include "base/file.h"
@@ -229,6 +230,7 @@
           "50ms, "
           "backoff: {{least: 50ms, most: 400ms}}, buffer: segment: 64KiB}}\n",
           net::to_string(receiver_->address()), day_.metrics_interval);
+    dead_.erase(instance);
     std::string file = assigner_file(instance, "cue");
     base::replace_file(file, text);
     std::vector<std::string> words{"serve", file};
@@ -237,6 +239,7 @@
         std::make_unique<process::Child>(options_.program, words, assigner_file(instance, "err"));
   }
   void kill_assigner(std::uint32_t instance) {
+    dead_.insert(instance);
     killed_at_[instance] = static_cast<std::int64_t>(base::wall_ms());
     processes_.at(instance)->kill();
     world_.note(AssignerDown{instance});
@@ -672,6 +675,7 @@
                            [&](auto& a) { return processes_.at(a.first)->ended(); });
     if (!all && world_.now() < limit) return after(10, [this, limit] { await_stops(limit); });
     for (auto& [instance, z] : day_.assigners) {
+      if (dead_.contains(instance)) continue;  // the day left it so
       int status = processes_.at(instance)->stop(0);
       if (status != 0)
         fail(fmt::format("assigner {} did not stop in order (status {}): {}", instance, status,
@@ -737,6 +741,7 @@
   std::unique_ptr<Receiver> receiver_;
   std::vector<std::string> alerts_;
   std::map<std::uint32_t, std::int64_t> killed_at_;
+  std::set<std::uint32_t> dead_;  // killed and not started again
   std::vector<std::pair<std::int64_t, std::int64_t>>
       excused_;  // times without an assigner, by the wall clock
   std::size_t told_ = 0;
--- a/src/measure/measure.cpp
+++ b/src/measure/measure.cpp
@@ -17,6 +17,7 @@
 #include "channel/frames.h"
 #include "process/child.h"
 #include "standin/list.h"
+#include "standin/receiver.h"
 
 namespace beamshunt::measure {
 namespace {
@@ -26,7 +27,7 @@
 
 constexpr std::uint32_t kLoopback = 127u << 24 | 200u << 16;  // 127.200.0.0/16 is the measurements' own
 constexpr net::Address kChannel{kLoopback | 1, 7000}, kAdmin{kLoopback | 1, 7001}, kList{kLoopback | 2, 7100},
-    kEcho{kLoopback | 3, 7200};
+    kEcho{kLoopback | 3, 7200}, kReceiver{kLoopback | 4, 9090};
 constexpr std::size_t kInFlight = 8;  // reports or echoes a stream has out at once when it floods
 
 rlim_t raise_descriptors() {  // to what this process may have; how many that is
@@ -193,8 +194,9 @@
   void run() {
     fmt::print("measurement,figure,value\n");
     double floor = echo_floor();
-    double reports = report_rate();
+    double reports = report_rate("reports");
     fmt::print("ratio,reports to echo floor,{:.2f}\n", reports / floor);
+    figures_cost(reports);
     order_latency();
     idle_streams();
   }
@@ -218,7 +220,22 @@
     world_.reactor.at(world_.now() + time, [this] { world_.reactor.stop(); });
     world_.reactor.run();
   }
-  std::unique_ptr<process::Child> start_assigner(double heartbeat_ms) {
+  void await_listener(net::Address at) {
+    bool listens = false;
+    std::shared_ptr<net::Connection> knock;
+    std::function<void()> dial = [&] {
+      knock = net::Connection::dial(world_.reactor, at, {kLoopback | 16, 0});
+      knock->start({[&] { listens = true; }, {}, {}, [&](net::CloseReason) { knock.reset(); }});
+    };
+    until(
+        [&] {
+          if (!listens && !knock) dial();
+          return listens;
+        },
+        10000);
+    knock->close();
+  }
+  std::unique_ptr<process::Child> start_assigner(double heartbeat_ms, const std::string& more = {}) {
     std::string file = folder_ + "/assigner.cue";
     base::replace_file(
         file, fmt::format(R"(
@@ -236,11 +253,12 @@
   channel: {{lines_per_s: 1e9/s, most_waiting_lines: 1e9, messages: 0}}
   reports: {{period: 250ms, lines_per_s: 5000/s}}
 }}
+{}
 )",
                           net::to_string(kChannel), net::to_string(kAdmin), net::to_string(kList), folder_,
-                          heartbeat_ms, std::max(o_.active, o_.idle)));
+                          heartbeat_ms, std::max(o_.active, o_.idle), more));
     auto child = std::make_unique<process::Child>(o_.program, std::vector<std::string>{"serve", file});
-    wait(500);
+    await_listener(kChannel);
     return child;
   }
   // All streams send as fast as they are answered: answers a second, and what each costs the other side.
@@ -259,20 +277,34 @@
   }
   double echo_floor() {
     process::Child child(o_.program, {"measure", "--echo", net::to_string(kEcho)});
-    wait(300);
+    await_listener(kEcho);
     Swarm swarm(world_.reactor);
     swarm.open(o_.active, true);
     until([&] { return swarm.ready == swarm.size(); }, 20000);
     return flood_rate(swarm, child, "echo floor", "report frames echoed", "frame");
   }
-  double report_rate() {
-    auto child = start_assigner(60000);
+  double report_rate(const char* name, const std::string& more = {}) {
+    auto child = start_assigner(60000, more);
     Swarm swarm(world_.reactor);
     swarm.servers = o_.servers;
     swarm.open(o_.active, false);
     until([&] { return swarm.ready == swarm.size(); }, 30000);
     wait(1500);
-    return flood_rate(swarm, *child, "reports", "taken, 13 lines each,", "report");
+    return flood_rate(swarm, *child, name, "taken (13 lines each)", "report");
+  }
+  // With and without figures by turns: the machine's speed drifts by more than they cost.
+  void figures_cost(double first_without) {
+    constexpr int kTurns = 3;
+    std::string more =
+        fmt::format("remote_write: {{url: \"http://{}/w\", interval: 1s}}", net::to_string(kReceiver));
+    standin::Receiver receiver(world_, kReceiver);
+    double with = 0, without = first_without;
+    for (int turn = 0; turn < kTurns; ++turn) {
+      with += report_rate("reports with figures sent each second", more);
+      if (turn + 1 < kTurns) without += report_rate("reports without");
+    }
+    fmt::print("ratio,reports with figures to without,{:.3f}\n", with / without);
+    fmt::print("figures,samples that the receiver took,{}\n", receiver.samples());
   }
   // Servers drain and return by turns: each change is an order to every proxy whose table has them.
   void order_latency() {
--- a/src/telemetry/figures.cpp
+++ b/src/telemetry/figures.cpp
@@ -23,6 +23,10 @@
 double stale_marker() { return std::bit_cast<double>(kStaleBits); }
 bool is_stale_marker(double value) { return std::bit_cast<std::uint64_t>(value) == kStaleBits; }
 
+std::int64_t next_stamp(std::int64_t last, double wall) {
+  return std::max(last + 1, static_cast<std::int64_t>(wall));
+}
+
 const std::string& label_of(const Labels& labels, const std::string& name) {
   static const std::string kNone;
   for (auto& [key, value] : labels)
--- a/src/telemetry/scrape.h
+++ b/src/telemetry/scrape.h
@@ -10,6 +10,10 @@
 
 using Labels = std::vector<std::pair<std::string, std::string>>;  // sorted by name, "__name__" among them
 
+// The instant of the next scrape: the wall clock's, but always after the last one, for time may step back
+// and a series' samples may not.
+std::int64_t next_stamp(std::int64_t last_ms, double wall_ms);
+
 struct Point {
   Labels labels;
   double value = 0;
--- a/src/telemetry/writer.cpp
+++ b/src/telemetry/writer.cpp
@@ -42,12 +42,6 @@
   disk_.reset();
 }
 
-// Time may step back; a series' samples may not.
-std::int64_t Writer::next_stamp() {
-  last_stamp_ = std::max(last_stamp_ + 1, static_cast<std::int64_t>(base::wall_ms()));
-  return last_stamp_;
-}
-
 void Writer::scrape() {
   if (finishing_) return;
   Figures f = look_();
@@ -59,7 +53,7 @@
   f.samples_sent = sender_.sent(), f.samples_refused = sender_.refused(),
   f.send_failures = sender_.failures();
   f.samples_dropped_old = disk_state_.dropped, f.samples_lost = disk_state_.lost;
-  store(exporter_.scrape(f, next_stamp()));
+  store(exporter_.scrape(f, stamp()));
   reactor_.at(reactor_.now() + set_.interval, [this, alive = alive_] {
     if (*alive) scrape();
   });
@@ -145,7 +139,7 @@
 void Writer::finish(Ms most, std::function<void()> done) {
   finishing_ = true;
   finished_ = std::move(done);
-  store(exporter_.stale(next_stamp()));
+  store(exporter_.stale(stamp()));
   reactor_.at(reactor_.now() + most, [this, alive = alive_] {
     if (*alive && finished_) std::exchange(finished_, nullptr)();
   });
--- a/src/telemetry/writer.h
+++ b/src/telemetry/writer.h
@@ -48,7 +48,7 @@
   void send();
   void settled();
   void take_state(const DiskState& state) { disk_state_ = state; }
-  std::int64_t next_stamp();
+  std::int64_t stamp() { return last_stamp_ = next_stamp(last_stamp_, base::wall_ms()); }
 
   net::Reactor& reactor_;
   WriterSettings set_;
--- a/tests/telemetry/buffer_test.cpp
+++ b/tests/telemetry/buffer_test.cpp
@@ -65,6 +65,19 @@
   EXPECT_EQ(again.lost_samples(), 0u);
 }
 
+TEST_F(BufferTest, TenTimesTheUsualSeriesComeBackWholeAndNewOnesInTheMiddle) {
+  Buffer b(folder, {.segment_bytes = 20000});
+  for (int k = 1; k <= 10; ++k) ASSERT_TRUE(b.append(scrape(k, k * 100)));
+  auto reads = b.read({}, 100);
+  ASSERT_EQ(reads.size(), 10u);
+  for (int k = 1; k <= 10; ++k) {
+    auto& points = reads[static_cast<std::size_t>(k - 1)].scrape.points;
+    ASSERT_EQ(points.size(), static_cast<std::size_t>(k * 100));
+    EXPECT_EQ(points.back().labels, scrape(k, k * 100).points.back().labels);
+    EXPECT_EQ(points.back().value, k * 10 + k * 100 - 1);
+  }
+}
+
 TEST_F(BufferTest, ATornTailIsCutWhereverItIsTorn) {
   {
     Buffer b(folder, {});
--- a/tests/telemetry/sender_test.cpp
+++ b/tests/telemetry/sender_test.cpp
@@ -105,6 +105,32 @@
   EXPECT_EQ(s.done.offset, 5u);
 }
 
+TEST(Sender, TenTimesTheUsualSeriesGoInBoundedBatches) {
+  Stage s({.shards = 2, .batch_samples = 500, .batch_wait = 10});
+  std::size_t most = 0;
+  for (int k = 1; k <= 5; ++k) s.give(k, 1000);
+  s.run(20000, [&](const std::vector<SeriesRun>& series) {
+    std::size_t samples = 0;
+    for (auto& run : series) samples += run.samples.size();
+    most = std::max(most, samples);
+    return 200;
+  });
+  EXPECT_EQ(most, 500u);
+  EXPECT_EQ(s.took.size(), 1000u);
+  for (auto& [labels, times] : s.took) EXPECT_EQ(times.size(), 5u);
+}
+
+TEST(Stamp, StepsBackOfTheClockKeepTheOrderUntilItHasCaughtUp) {
+  std::int64_t last = 0, before = 0;
+  for (double wall : {1000.0, 2000.0, 500.0, 500.0, 1500.0, 2500.0, 2500.5}) {
+    last = next_stamp(last, wall);
+    EXPECT_GT(last, before);
+    before = last;
+  }
+  EXPECT_EQ(next_stamp(2000, 500), 2001);
+  EXPECT_EQ(next_stamp(2001, 9000), 9000);
+}
+
 TEST(Sender, ItsWindowBoundsWhatItHolds) {
   Stage s({.window = 4});
   for (int k = 1; k <= 4; ++k) s.give(k);
