--- a/src/channel/frames.cpp
+++ b/src/channel/frames.cpp
@@ -167,20 +167,19 @@
   return kNames[frame.index()];
 }
 
-std::string encode(const Frame& frame) {
-  base::Encoder payload, whole;
-  std::visit([&](const auto& f) { payload(f); }, frame);
-  whole(static_cast<std::uint32_t>(payload.bytes().size()), static_cast<std::uint8_t>(frame.index() + 1));
-  return whole.take() + payload.bytes();
+std::string framed(std::size_t kind, const std::string& payload) {
+  base::Encoder head;
+  head(static_cast<std::uint32_t>(payload.size()), static_cast<std::uint8_t>(kind));
+  return head.take() + payload;
 }
 
-void FrameParser::push(std::string_view bytes) {
+void Framing::push(std::string_view bytes) {
   held_.erase(0, at_);
   before_ += std::exchange(at_, 0);
   held_ += bytes;
 }
 
-std::optional<Frame> FrameParser::next() {
+std::optional<Framing::Piece> Framing::look() const {
   std::string_view left = std::string_view(held_).substr(at_);
   if (left.size() < kHeaderBytes) return std::nullopt;
   std::uint64_t offset = before_ + at_;
@@ -192,18 +191,30 @@
     throw Malformed(
         RefuseCode::bad_frame, offset,
         "a frame of " + std::to_string(size) + " bytes, " + std::to_string(most_) + " are allowed");
-  if (kind == 0 || kind > std::variant_size_v<Frame>)
+  if (kind == 0 || kind > kinds_)
     throw Malformed(RefuseCode::bad_frame, offset,
                     "a frame of kind " + std::to_string(kind) + ", which is unknown");
   if (left.size() - kHeaderBytes < size) return std::nullopt;
-  base::Decoder payload(left.substr(kHeaderBytes, size));
+  return Piece{kind, left.substr(kHeaderBytes, size), offset + kHeaderBytes};
+}
+
+std::string encode(const Frame& frame) {
+  base::Encoder payload;
+  std::visit([&](const auto& f) { payload(f); }, frame);
+  return framed(frame.index() + 1, payload.bytes());
+}
+
+std::optional<Frame> FrameParser::next() {
+  auto piece = framing_.look();
+  if (!piece) return std::nullopt;
+  base::Decoder payload(piece->payload);
   try {
-    if (is_opening(kind - 1u)) check_version(payload, offset + kHeaderBytes);
-    Frame frame = decode(kind - 1u, payload);
-    at_ += kHeaderBytes + size;
+    if (is_opening(piece->kind - 1)) check_version(payload, piece->offset);
+    Frame frame = decode(piece->kind - 1, payload);
+    framing_.take(*piece);
     return frame;
   } catch (const base::DecodeError& error) {
-    throw Malformed(RefuseCode::bad_frame, offset + kHeaderBytes + error.offset, error.what());
+    throw Malformed(RefuseCode::bad_frame, piece->offset + error.offset, error.what());
   }
 }
 
--- a/src/channel/frames.h
+++ b/src/channel/frames.h
@@ -162,25 +162,49 @@
   std::uint64_t offset;
 };
 
+// Length and kind before each payload, whatever the payloads are: the framing that all streams here share.
+std::string framed(std::size_t kind, const std::string& payload);  // kind: from 1
+
+class Framing {
+ public:
+  Framing(std::size_t most_bytes, std::size_t kinds) : most_(most_bytes), kinds_(kinds) {}
+  struct Piece {
+    std::size_t kind = 0;  // from 1
+    std::string_view payload;
+    std::uint64_t offset = 0;  // of the payload in the stream
+  };
+  void allow(std::size_t most_bytes) { most_ = most_bytes; }
+  void push(std::string_view bytes);
+  // The next whole frame, if there is one; take() moves behind it. Throws Malformed, before the payload is
+  // there, for a frame that is too long or of an unknown kind.
+  std::optional<Piece> look() const;
+  void take(const Piece& piece) { at_ += kHeaderBytes + piece.payload.size(); }
+  std::size_t unfinished() const { return held_.size() - at_; }
+
+ private:
+  std::size_t most_, kinds_;
+  std::string held_;
+  std::size_t at_ = 0;        // bytes of held_ that were taken
+  std::uint64_t before_ = 0;  // bytes of the stream before held_
+};
+
 std::string encode(const Frame& frame);
 
 // Frames from a byte stream, however it is cut. Once all are taken it holds at most one unfinished frame.
 class FrameParser {
  public:
-  explicit FrameParser(std::size_t most_bytes = kMostFrameBytes) : most_(most_bytes) {}
-  void allow(std::size_t most_bytes) { most_ = most_bytes; }  // for the frames that are yet to be taken
-  void push(std::string_view bytes);
+  explicit FrameParser(std::size_t most_bytes = kMostFrameBytes)
+      : framing_(most_bytes, std::variant_size_v<Frame>) {}
+  void allow(std::size_t most_bytes) { framing_.allow(most_bytes); }  // for the frames yet to be taken
+  void push(std::string_view bytes) { framing_.push(bytes); }
   // The next whole frame, if there is one. Throws Malformed; the stream is then at its end.
   std::optional<Frame> next();
   // Both at once: appends the frames that `bytes` completes.
   void feed(std::string_view bytes, std::vector<Frame>& out);
-  std::size_t unfinished() const { return held_.size() - at_; }
+  std::size_t unfinished() const { return framing_.unfinished(); }
 
  private:
-  std::size_t most_;
-  std::string held_;
-  std::size_t at_ = 0;        // bytes of held_ that were taken
-  std::uint64_t before_ = 0;  // bytes of the stream before held_
+  Framing framing_;
 };
 
 }  // namespace beamshunt::channel
--- /dev/null
+++ b/src/configstream/wire.cpp
@@ -0,0 +1,101 @@
+#include "configstream/wire.h"
+
+#include <xxhash.h>
+
+#include <cmath>
+
+#include "base/archive.h"
+
+namespace beamshunt::configstream {
+// Found by argument-dependent lookup, hence not in the unnamed namespace.
+template <class A>
+void fields(A& a, Subscribe& x) {
+  a(x.magic, x.version, x.instance, x.origin, x.types, x.held_number, x.held_hash, x.held);
+}
+template <class A>
+void fields(A& a, Delivery& x) {
+  a(x.nonce, x.origin, x.number, x.base, x.hash, x.part, x.parts, x.changed, x.removed);
+}
+template <class A>
+void fields(A& a, Answer& x) {
+  a(x.nonce, x.number, x.verdict, x.in_force, x.reasons);
+}
+template <class A>
+void fields(A& a, Ping& x) {
+  a(x.token);
+}
+template <class A>
+void fields(A& a, Pong& x) {
+  a(x.token);
+}
+template <class A>
+void fields(A& a, Refuse& x) {
+  a(x.code, x.retry_after_ms, x.reason);
+}
+
+namespace {
+
+const char* fault(const Subscribe& x) {
+  return x.magic != kMagic ? "not this protocol: the magic number differs" : nullptr;
+}
+const char* fault(const Delivery& x) {
+  if (x.number == 0) return "a version of number 0";
+  if (x.base >= x.number) return "a change of a version that is not before it";
+  return x.part < x.parts ? nullptr : "a part beyond the last";
+}
+const char* fault(const Answer& x) { return x.verdict > Verdict::reverted ? "an unknown verdict" : nullptr; }
+const char* fault(const Refuse& x) {
+  return std::isfinite(x.retry_after_ms) && x.retry_after_ms >= 0 ? nullptr : "a time below 0 or not finite";
+}
+template <typename T>
+const char* fault(const T&) {
+  return nullptr;
+}
+
+template <std::size_t K = 0>
+Frame decode(std::size_t kind, base::Decoder& d) {
+  if constexpr (K < std::variant_size_v<Frame>) {
+    if (kind != K + 1) return decode<K + 1>(kind, d);
+    std::variant_alternative_t<K, Frame> frame;
+    d(frame);
+    d.end();
+    if (const char* reason = fault(frame)) d.fail(reason);
+    return frame;
+  } else {
+    d.fail("a frame of an unknown kind");
+  }
+}
+
+}  // namespace
+
+std::uint64_t content_hash(const Resources& resources) {
+  base::Encoder e;
+  for (auto& [key, resource] : resources) e(key, resource.body);
+  return XXH3_64bits(e.bytes().data(), e.bytes().size());
+}
+
+std::string to_string(const Reason& r) {
+  std::string out = r.rule + ": " + (r.path.empty() ? "" : r.path + ": ") + r.reason;
+  return r.would_do.empty() ? out : out + "; " + r.would_do + " would do";
+}
+
+std::string encode(const Frame& frame) {
+  base::Encoder payload;
+  std::visit([&](const auto& f) { payload(f); }, frame);
+  return channel::framed(frame.index() + 1, payload.bytes());
+}
+
+std::optional<Frame> FrameParser::next() {
+  auto piece = framing_.look();
+  if (!piece) return std::nullopt;
+  base::Decoder payload(piece->payload);
+  try {
+    Frame frame = decode(piece->kind, payload);
+    framing_.take(*piece);
+    return frame;
+  } catch (const base::DecodeError& error) {
+    throw channel::Malformed(channel::RefuseCode::bad_frame, piece->offset + error.offset, error.what());
+  }
+}
+
+}  // namespace beamshunt::configstream
