Settings change in a running core: a fresh module takes over proxy by proxy

A streamed version has to come into force without a restart. The module takes its settings at its start, so another version of them means another instance of it, and a plain swap would leave proxies on tables that nobody keeps, or forget which messages were sent.

- Core holds several modules: the fresh one binds the proxies at the channel's pace, the former one orders each until then; reports and lists go to all.
Tables have a range of wire numbers a module.
- One event more for the module, ChannelShared: lines and messages of the other instance count in its account (rule 5 is kept together).
- Flight record version 2: modules are numbered, versions in force noted; replay follows.

--- a/src/assigner/core.cpp
+++ b/src/assigner/core.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/enums.h"
+#include "record/policy_fields.h"
 #include "record/record.h"
 
 namespace beamshunt::assigner {
@@ -19,19 +20,37 @@
 constexpr Ms kRedialPeer = 500;           // between dials of one peer
 constexpr Ms kRateFade = 1000;            // in which a rate of tries fades, for figures
 constexpr double kBusyLeast = 0.05;       // utilization that tells a speed, for figures
+constexpr Ms kMessagesKept = 60000;       // so long at least: the span may become longer
 constexpr std::size_t kMostHello = 1024;  // bytes: who has not said who he is gets no memory to fill
+// Each module's tables have a range of numbers on the wire, so that a fresh one's never meet a former one's.
+constexpr std::uint32_t kTablesAModule = 1 << 16;
+constexpr std::uint32_t kModuleRanges = 0xffffffff / kTablesAModule - 1;
+std::uint32_t on_wire(std::uint32_t module, TableId table) {
+  return module % kModuleRanges * kTablesAModule + raw(table);
+}
+std::string encoded(const Settings& settings) {
+  base::Encoder e;
+  e(settings);
+  return e.take();
+}
 
 Time at(Ms ms) { return Time(Duration(ms)); }
 }  // namespace
 
 Core::Core(const Site& site, std::uint64_t epoch, std::optional<EndpointBook> warm, Ms now, double wall_now)
-    : site_(site), epoch_(epoch), brain_(site.policy), intake_(site.report_lines_per_s) {
+    : site_(site), epoch_(epoch), intake_(site.report_lines_per_s) {
+  modules_.emplace(0, Module{.brain = Brain(site.policy)});
   next_release_ = list_heard_ = now;
+  wall_less_now_ = wall_now - now;
   for (auto& [instance, address] : site_.peers) dial_at_[instance] = now;
   if (!site_.record_file.empty()) effects_.push_back(AppendRecord{record::opening(site_.policy)});
   if (warm) book_ = std::move(*warm);
   // As on the bench, the first event is the warm copy, be it empty: the module asks for the list itself.
-  pending_.push_back(EndpointList{ListKind::warm_copy, book_.listed(book_.all(), now, wall_now)});
+  tell(EndpointList{ListKind::warm_copy, book_.listed(book_.all(), now, wall_now)});
+}
+
+void Core::tell(const Event& event) {
+  for (auto& [number, module] : modules_) module.pending.push_back(event);
 }
 
 void Core::log(log::Level level, std::string event, log::Fields fields) {
@@ -113,7 +132,7 @@
     for (auto& [number, table] : tables_) table.users.erase(proxy);
     intake_.forget(proxy);
     open_.erase(proxy);
-    pending_.push_back(ProxyLeft{proxy});
+    tell(ProxyLeft{proxy});
   } else if (stream.is == Stream::Is::peer) {
     auto held = peers_.find(stream.id);
     if (held != peers_.end() && held->second == s->first) peers_.erase(held);
@@ -173,7 +192,7 @@
     }
   }
   if (auto* note = std::get_if<channel::PeerNote>(&frame); note && stream.is == Stream::Is::peer) {
-    pending_.push_back(PeerMessage{stream.id, {note->payload.begin(), note->payload.end()}});
+    tell(PeerMessage{stream.id, {note->payload.begin(), note->payload.end()}});
     return;
   }
   refuse(s, RefuseCode::unexpected, fmt::format("a {} frame is out of place", channel::kind_name(frame)), 0,
@@ -209,6 +228,8 @@
   stream.is = Stream::Is::proxy;
   stream.parser.allow(site_.most_frame);
   stream.id = hello.proxy, stream.incarnation = hello.incarnation, stream.attempt = hello.attempt;
+  stream.usual = hello.usual_rate;
+  stream.owner = modules_.rbegin()->first;
   proxies_[proxy] = s->first;
   log(log::Level::info, "proxy_joined",
       {{"proxy", std::to_string(hello.proxy)}, {"peer", net::to_string(stream.address)}, {"locality", name}});
@@ -217,7 +238,8 @@
       channel::Welcome{
           .epoch = epoch_, .heartbeat_ms = site_.heartbeat, .report_period_ms = site_.policy.period.count()},
       now);
-  pending_.push_back(ProxyJoined{proxy, Locality(*locality), hello.usual_rate, hello.only_standing});
+  modules_.rbegin()->second.pending.push_back(
+      ProxyJoined{proxy, Locality(*locality), hello.usual_rate, hello.only_standing});
 }
 
 void Core::open_peer(Streams::iterator s, const channel::PeerHello& hello, Ms now) {
@@ -251,9 +273,13 @@
 }
 
 void Core::confirm(Stream& s, std::uint64_t sequence, Ms now) {
-  for (; !s.unconfirmed.empty() && s.unconfirmed.front().sequence <= sequence; s.unconfirmed.pop_front())
-    for (std::uint32_t serial : s.unconfirmed.front().serials)
-      pending_.push_back(OrderApplied{ProxyId(s.id), Duration(now - s.unconfirmed.front().decided), serial});
+  for (; !s.unconfirmed.empty() && s.unconfirmed.front().sequence <= sequence; s.unconfirmed.pop_front()) {
+    const Sent& sent = s.unconfirmed.front();
+    auto module = modules_.find(sent.module);
+    if (module == modules_.end()) continue;
+    for (std::uint32_t serial : sent.serials)
+      module->second.pending.push_back(OrderApplied{ProxyId(s.id), Duration(now - sent.decided), serial});
+  }
 }
 
 double Core::waiting_lines() const {
@@ -275,12 +301,13 @@
     return list_lost(std::string("refused: ") + error.what(), now);
   }
   list_heard_ = now;
+  wall_less_now_ = wall_now - now;
   for (std::uint32_t id : book_.apply(update)) {
     if (book_.open(id)) closed_.erase(id);
     else closed_.try_emplace(id, now);
   }
-  pending_.push_back(EndpointList{update.total ? ListKind::total : ListKind::incremental,
-                                  book_.listed(update.entries, now, wall_now)});
+  tell(EndpointList{update.total ? ListKind::total : ListKind::incremental,
+                    book_.listed(update.entries, now, wall_now)});
   effects_.push_back(SaveList{});
   log(log::Level::debug, "list_taken",
       {{"version", std::to_string(update.version)}, {"entries", std::to_string(update.entries.size())}});
@@ -290,11 +317,11 @@
   watching_ = false;
   log(log::Level::warning, "list_lost",
       {{"reason", reason}, {"kept_version", std::to_string(book_.version())}});
-  pending_.push_back(EndpointList{ListKind::lost, {}});
+  tell(EndpointList{ListKind::lost, {}});
 }
 
 void Core::probe_answered(EndpointId endpoint, Outcome outcome, Ms took, LoadReport load, Ms) {
-  pending_.push_back(ProbeResult{endpoint, outcome, Duration(took), std::move(load)});
+  tell(ProbeResult{endpoint, outcome, Duration(took), std::move(load)});
 }
 
 // ---- The module's orders ----
@@ -309,45 +336,61 @@
   return line;
 }
 
-void Core::write(ProxyId proxy, channel::Order order) {
-  if (proxies_.contains(proxy)) open_[proxy].push_back(std::move(order));
+// A proxy obeys one module: what another one says to it is of a time that is over.
+void Core::write(std::uint32_t module, ProxyId proxy, channel::Order order) {
+  auto joined = proxies_.find(proxy);
+  if (joined != proxies_.end() && streams_.at(joined->second).owner == module)
+    open_[proxy].push_back(std::move(order));
 }
 
-void Core::write_users(const Table& table, const channel::Order& order) {
-  for (auto& [proxy, classes] : table.users) write(proxy, order);
+void Core::write_users(std::uint32_t module, const Table& table, const channel::Order& order) {
+  for (auto& [proxy, classes] : table.users) write(module, proxy, order);
 }
 
-void Core::bind(const Bind& b) {
-  if (!proxies_.contains(b.proxy)) return;  // it has left
+void Core::bind(std::uint32_t module_number, Module& module, const Bind& b) {
+  auto joined = proxies_.find(b.proxy);
+  if (joined == proxies_.end()) return;  // it has left
+  Stream& stream = streams_.at(joined->second);
+  if (stream.owner > module_number) return;
+  if (stream.owner < module_number) {  // taken over: the former module is rid of it
+    if (auto former = modules_.find(std::exchange(stream.owner, module_number)); former != modules_.end())
+      former->second.pending.push_back(ProxyLeft{b.proxy});
+  }
   ClassMask classes = b.classes != 0 ? b.classes : (ClassMask{1} << site_.policy.classes.size()) - 1;
-  std::uint32_t number = raw(b.table);
+  std::uint32_t number = on_wire(module_number, b.table);
   for (auto t = tables_.begin(); t != tables_.end(); ++t)
     if (auto user = t->second.users.find(b.proxy); user != t->second.users.end())
       if ((user->second &= ~classes) == 0) t->second.users.erase(user);
   Table& table = tables_[number];
   table.users[b.proxy] |= classes;
-  write(b.proxy, channel::BindOrder{classes, number});
-  for (auto& [endpoint, weight] : table.lines) write(b.proxy, line_of(number, endpoint, weight));
+  write(module_number, b.proxy, channel::BindOrder{classes, number});
+  for (auto& [endpoint, weight] : table.lines)
+    write(module_number, b.proxy, line_of(number, endpoint, weight));
   for (auto& [c, level] : table.levels)
-    write(b.proxy, channel::AdmitOrder{number, ClassMask{1} << c, level.first,
-                                       static_cast<std::uint8_t>(level.second)});
-  for (auto& [c, level] : every_table_)
-    write(b.proxy, channel::AdmitOrder{channel::kEveryTable, ClassMask{1} << c, level.first,
-                                       static_cast<std::uint8_t>(level.second)});
-  for (std::uint32_t endpoint : withdrawn_) write(b.proxy, channel::WithdrawOrder{endpoint, true});
-}
-
-void Core::act(Ms now, const std::vector<Action>& actions) {
+    write(
+        module_number, b.proxy,
+        channel::AdmitOrder{number, ClassMask{1} << c, level.first, static_cast<std::uint8_t>(level.second)});
+  for (auto& [c, level] : module.every_table)
+    write(module_number, b.proxy,
+          channel::AdmitOrder{channel::kEveryTable, ClassMask{1} << c, level.first,
+                              static_cast<std::uint8_t>(level.second)});
+  for (std::uint32_t endpoint : module.withdrawn)
+    write(module_number, b.proxy, channel::WithdrawOrder{endpoint, true});
+}
+
+void Core::act(Ms now, std::uint32_t number, Module& module, const std::vector<Action>& actions) {
   struct Doing {
     Core& core;
     Ms now;
+    std::uint32_t number;
+    Module& module;
     void operator()(const WatchList& x) {
       core.watching_ = x.on;
       if (x.on) core.effects_.push_back(OpenWatch{});
       else core.effects_.push_back(CloseWatch{});
     }
     void operator()(const FetchList&) { core.effects_.push_back(FetchTheList{}); }
-    void operator()(const SetTimer& x) { core.timers_.emplace(x.at.time_since_epoch().count(), x.token); }
+    void operator()(const SetTimer& x) { module.timers.emplace(x.at.time_since_epoch().count(), x.token); }
     void operator()(const Probe& x) {
       if (const ListEntry* e = core.book_.find(raw(x.endpoint)))
         core.effects_.push_back(ProbeServer{x.endpoint, e->address});
@@ -360,37 +403,37 @@
                           channel::PeerNote{std::string(x.payload.begin(), x.payload.end())}, now);
     }
     void operator()(const SetLine& x) {
-      Table& table = core.tables_[raw(x.table)];
+      Table& table = core.tables_[on_wire(number, x.table)];
       if (x.weight > 0) table.lines[raw(x.endpoint)] = x.weight;
       else table.lines.erase(raw(x.endpoint));
-      core.write_users(table, core.line_of(raw(x.table), raw(x.endpoint), x.weight));
+      core.write_users(number, table, core.line_of(on_wire(number, x.table), raw(x.endpoint), x.weight));
     }
     void operator()(const ResetTable& x) {
-      Table& table = core.tables_[raw(x.table)];
+      Table& table = core.tables_[on_wire(number, x.table)];
       table.lines.clear(), table.levels.clear();
-      core.write_users(table, channel::ResetOrder{raw(x.table)});
+      core.write_users(number, table, channel::ResetOrder{on_wire(number, x.table)});
     }
-    void operator()(const Bind& x) { core.bind(x); }
+    void operator()(const Bind& x) { core.bind(number, module, x); }
     void operator()(const Withdraw& x) {
-      if (x.withdrawn) core.withdrawn_.insert(raw(x.endpoint));
-      else core.withdrawn_.erase(raw(x.endpoint));
+      if (x.withdrawn) module.withdrawn.insert(raw(x.endpoint));
+      else module.withdrawn.erase(raw(x.endpoint));
       for (auto& [proxy, stream] : core.proxies_)
-        core.write(proxy, channel::WithdrawOrder{raw(x.endpoint), x.withdrawn});
+        core.write(number, proxy, channel::WithdrawOrder{raw(x.endpoint), x.withdrawn});
     }
     void operator()(const Admit& x) {
       std::size_t count = core.site_.policy.classes.size();
       ClassMask classes = x.classes != 0 ? x.classes : (ClassMask{1} << count) - 1;
-      auto& levels = x.every_table ? core.every_table_ : core.tables_[raw(x.table)].levels;
+      auto& levels = x.every_table ? module.every_table : core.tables_[on_wire(number, x.table)].levels;
       for (std::uint32_t c = 0; c < count; ++c) {
         if (!(classes >> c & 1)) continue;
         auto had = levels.find(c);
         if (had != levels.end() && x.level < had->second.first) ++core.cuts_[c];
         levels[c] = {x.level, x.retry};
       }
-      channel::AdmitOrder order{x.every_table ? channel::kEveryTable : raw(x.table), classes, x.level,
-                                static_cast<std::uint8_t>(x.retry)};
-      if (!x.every_table) return core.write_users(core.tables_[raw(x.table)], order);
-      for (auto& [proxy, stream] : core.proxies_) core.write(proxy, order);
+      channel::AdmitOrder order{x.every_table ? channel::kEveryTable : on_wire(number, x.table), classes,
+                                x.level, static_cast<std::uint8_t>(x.retry)};
+      if (!x.every_table) return core.write_users(number, core.tables_[on_wire(number, x.table)], order);
+      for (auto& [proxy, stream] : core.proxies_) core.write(number, proxy, order);
     }
     void operator()(const Barrier& x) {
       if (x.everyone)
@@ -405,13 +448,13 @@
       core.log(log::Level::error, "module_fault", {{"text", x.text}});
     }
   };
-  Doing doing{*this, now};
+  Doing doing{*this, now, number, module};
   for (const Action& action : actions) std::visit(doing, action);
   counters_.actions += actions.size();
 }
 
 // One message for each proxy concerned, envelope included; they leave one after the other at the set pace.
-void Core::send_messages(Ms now) {
+void Core::send_messages(Ms now, std::uint32_t module) {
   for (auto& [proxy, orders] : open_) {
     auto joined = proxies_.find(proxy);
     if (joined == proxies_.end()) continue;
@@ -419,7 +462,7 @@
     if (orders.empty()) continue;
     Stream& s = streams_.at(joined->second);
     channel::Orders message{.sequence = ++s.sequence, .decided_at_ms = now};
-    Sent sent{.sequence = s.sequence, .decided = now};
+    Sent sent{.sequence = s.sequence, .decided = now, .module = module};
     for (const channel::Order& order : orders) note_order(order, sent);
     sent.lines = message.lines = site_.policy.envelope_lines + static_cast<double>(orders.size());
     message.orders = std::move(orders);
@@ -428,7 +471,10 @@
     channel_free_ = std::max(channel_free_, now) + sent.lines / site_.policy.egress_lines_per_s * 1000;
     sent.leaves = channel_free_;
     s.messages.push_back(now);
-    while (now - s.messages.front() > site_.policy.pushes_span.count()) s.messages.pop_front();
+    for (auto& [other, m] : modules_)
+      if (other != module) ++m.others_sent[proxy];
+    while (now - s.messages.front() > std::max(kMessagesKept, site_.policy.pushes_span.count()))
+      s.messages.pop_front();
     s.unconfirmed.push_back(std::move(sent));
     schedule(streams_.find(joined->second));
     waiting_.push_back(
@@ -483,32 +529,152 @@
   }
 }
 
+// ---- Modules ----
+
+void Core::run(std::uint32_t number, Module& module, Ms now) {
+  while (!module.timers.empty() && module.timers.begin()->first <= now) {
+    module.pending.push_back(TimerFired{module.timers.begin()->second});
+    module.timers.erase(module.timers.begin());
+  }
+  if (module.pending.empty()) return;
+  std::vector<Event> events = std::exchange(module.pending, {});
+  std::vector<Action> actions = module.brain.handle(at(now), events);
+  counters_.events += events.size();
+  if (!site_.record_file.empty())
+    effects_.push_back(AppendRecord{record::batch(at(now), events, actions, number)});
+  act(now, number, module, actions);
+  send_messages(now, number);
+}
+
+// While several modules order through one channel each must know what the others have in it.
+void Core::share_channel() {
+  std::map<std::uint32_t, double> lines;
+  double all = 0;
+  for (auto& [id, s] : streams_)
+    for (const Sent& m : s.unconfirmed) lines[m.module] += m.lines, all += m.lines;
+  bool foreign = false;
+  for (auto& [number, module] : modules_) {
+    double others = all - lines[number];
+    foreign |= others > 0;
+    if (others == module.others_lines && module.others_sent.empty()) continue;
+    module.pending.push_back(ChannelShared{others, std::exchange(module.others_sent, {})});
+    module.others_lines = others;
+  }
+  sharing_ = foreign || modules_.size() > 1;
+}
+
+// A module that orders no proxy any more has been taken over.
+void Core::retire(Ms) {
+  if (modules_.size() == 1) return;
+  std::set<std::uint32_t> owners{modules_.rbegin()->first};
+  for (auto& [proxy, id] : proxies_) owners.insert(streams_.at(id).owner);
+  std::erase_if(modules_, [&](auto& m) {
+    if (owners.contains(m.first)) return false;
+    log(log::Level::info, "module_taken_over",
+        {{"module", std::to_string(m.first)}, {"by", std::to_string(modules_.rbegin()->first)}});
+    return true;
+  });
+  std::erase_if(tables_, [&](auto& t) {
+    return t.second.users.empty() && !modules_.contains(t.first / kTablesAModule);
+  });
+}
+
+std::size_t Core::spent(const Stream& s, Ms now, Ms span) {
+  return static_cast<std::size_t>(s.messages.end() -
+                                  std::lower_bound(s.messages.begin(), s.messages.end(), now - span));
+}
+
+bool Core::may_reconfigure(const Site& next, Ms now) const {
+  if (encoded(site_.policy) == encoded(next.policy)) return true;
+  if (modules_.size() > 1 || sharing_) return false;
+  int allowed = next.policy.pushes_allowed;
+  return allowed <= 0 || std::all_of(proxies_.begin(), proxies_.end(), [&](auto& p) {
+           return spent(streams_.at(p.second), now, next.policy.pushes_span.count()) <
+                  static_cast<std::size_t>(allowed);
+         });
+}
+
+void Core::reconfigure(const Site& next, std::uint64_t version, std::uint64_t hash, Ms now) {
+  bool fresh = encoded(site_.policy) != encoded(next.policy);
+  // What waits for the module speaks of classes and localities that may be no more.
+  if (next.policy.classes.size() < site_.policy.classes.size() ||
+      next.policy.localities.size() < site_.policy.localities.size())
+    intake_ = Intake(next.report_lines_per_s);
+  bool told = site_.heartbeat != next.heartbeat || site_.policy.period != next.policy.period;
+  site_ = next;
+  intake_.pace(site_.report_lines_per_s);
+  if (!site_.record_file.empty()) effects_.push_back(AppendRecord{record::applied(at(now), version, hash)});
+  log(log::Level::info, "config_applied",
+      {{"version", std::to_string(version)}, {"fresh_module", fresh ? "yes" : "no"}});
+  for (auto s = streams_.begin(); s != streams_.end(); ++s) {
+    if (s->second.is == Stream::Is::opening) continue;
+    s->second.parser.allow(site_.most_frame);
+    if (told && s->second.is == Stream::Is::proxy)
+      send_frame(s,
+                 channel::Welcome{.epoch = epoch_,
+                                  .heartbeat_ms = site_.heartbeat,
+                                  .report_period_ms = site_.policy.period.count()},
+                 now);
+    schedule(s);
+  }
+  if (!fresh) return;
+  std::uint32_t number = modules_.rbegin()->first + 1;
+  Module& module = modules_.emplace(number, Module{.brain = Brain(site_.policy)}).first->second;
+  if (!site_.record_file.empty()) effects_.push_back(AppendRecord{record::opening(site_.policy, number)});
+  // Known instants of starts are kept as they are: no wall clock is needed, none of these is new.
+  module.pending.push_back(
+      EndpointList{ListKind::warm_copy, book_.listed(book_.all(), now, wall_less_now_ + now)});
+  for (auto& [proxy, id] : proxies_) {
+    Stream& s = streams_.at(id);
+    module.others_sent[proxy] = static_cast<int>(spent(s, now, site_.policy.pushes_span.count()));
+    module.pending.push_back(
+        ProxyJoined{proxy, Locality{site_.locality_of.find(s.address.ip).value_or(0)}, s.usual, false});
+  }
+  sharing_ = true;
+  retire(now);
+}
+
+Fleet Core::fleet(Ms now) const {
+  Fleet out;
+  for (const ListEntry& e : book_.all()) {
+    Fleet::Server s{e.id, e.locality, e.cell, e.size, e.state == EndpointState::in_service};
+    s.address = e.address;
+    if (auto start = book_.started(e.id)) s.up_for = now - *start;
+    if (auto h = heard_.find(e.id); h != heard_.end()) s.rate = h->second.rate, s.busy = h->second.busy;
+    out.servers.push_back(s);
+  }
+  for (auto& [proxy, id] : proxies_) {
+    const Stream& s = streams_.at(id);
+    out.proxies.push_back({raw(proxy), site_.locality_of.find(s.address.ip).value_or(0), s.usual,
+                           spent(s, now, site_.policy.pushes_span.count()), s.address});
+  }
+  out.came.assign(site_.policy.classes.size(), 0);
+  for (auto& [key, sum] : service_)
+    if (key.second < out.came.size()) out.came[key.second] += static_cast<double>(sum.came);
+  out.streams = streams_.size();
+  return out;
+}
+
 void Core::turn(Ms now) {
   dial_peers(now);
   upkeep(now);
   if (now >= next_release_) {
-    for (Event& e : intake_.release(now)) pending_.push_back(std::move(e));
+    for (const Event& e : intake_.release(now)) tell(e);
     next_release_ = now + site_.policy.period.count();
   }
-  while (!timers_.empty() && timers_.begin()->first <= now) {
-    pending_.push_back(TimerFired{timers_.begin()->second});
-    timers_.erase(timers_.begin());
-  }
-  if (!pending_.empty()) {
-    std::vector<Event> events = std::exchange(pending_, {});
-    std::vector<Action> actions = brain_.handle(at(now), events);
-    counters_.events += events.size();
-    if (!site_.record_file.empty()) effects_.push_back(AppendRecord{record::batch(at(now), events, actions)});
-    act(now, actions);
-    send_messages(now);
-  }
+  if (sharing_) share_channel();
+  for (auto& [number, module] : modules_) run(number, module, now);
+  retire(now);
   release_messages(now);
 }
 
 Ms Core::next_due() const {
-  Ms due = pending_.empty() ? next_release_ : 0;
+  Ms due = next_release_;
+  for (auto& [number, module] : modules_) {
+    if (!module.pending.empty()) return 0;
+    if (!module.timers.empty()) due = std::min(due, module.timers.begin()->first);
+  }
   if (!due_.empty()) due = std::min(due, due_.begin()->first);
-  if (!timers_.empty()) due = std::min(due, timers_.begin()->first);
   if (!waiting_.empty()) due = std::min(due, waiting_.front().leaves);
   return due;
 }
@@ -593,8 +759,7 @@
     Stream& s = streams_.at(id);
     if (!s.unconfirmed.empty())
       f.backlog_age_s = std::max(f.backlog_age_s, (now - s.unconfirmed.front().decided) / 1000);
-    while (!s.messages.empty() && now - s.messages.front() > p.pushes_span.count()) s.messages.pop_front();
-    f.messages.push_back(static_cast<double>(s.messages.size()));
+    f.messages.push_back(static_cast<double>(spent(s, now, p.pushes_span.count())));
     most_messages = std::max(most_messages, f.messages.back());
     if (!lacking.contains(proxy)) s.empty_since = -1;
     else if (s.empty_since < 0) s.empty_since = now;
--- a/src/assigner/core.h
+++ b/src/assigner/core.h
@@ -66,6 +66,28 @@
 using Between = std::function<void(Ms now, std::uint32_t proxy, std::vector<channel::Order>& orders,
                                    const EndpointBook& book)>;
 
+// What is known of the fleet at an instant: what a change of the settings is judged against.
+struct Fleet {
+  struct Server {
+    std::uint32_t id = 0, locality = 0, cell = 0;
+    double size = 1;
+    bool open = true;
+    Ms up_for = 1e12;            // since its start; long, if that is unknown
+    double rate = 0, busy = -1;  // tries a second; utilization by its last report, below 0: unknown
+    net::Address address{};
+  };
+  struct JoinedProxy {
+    std::uint32_t id = 0, locality = 0;
+    double usual = 0;       // requests a second, as it announced
+    std::size_t spent = 0;  // messages within the span
+    net::Address from{};
+  };
+  std::vector<Server> servers;       // listed
+  std::vector<JoinedProxy> proxies;  // with a stream
+  std::vector<double> came;          // requests by class since the start
+  std::size_t streams = 0;
+};
+
 class Core {
  public:
   // `epoch` grows at each start. The warm copy is the list that was held before it, if any.
@@ -82,6 +104,14 @@
   void list_beat(Ms now) { list_heard_ = now; }  // the watch lives, with nothing new
   void list_lost(const std::string& reason, Ms now);
   void probe_answered(EndpointId endpoint, Outcome outcome, Ms took, LoadReport load, Ms now);
+  // Other settings from this instant on. Where the module's own differ, a fresh instance takes the place of
+  // the one that runs: it binds the proxies one after the other, at the pace of the channel, and each is
+  // ordered by the former one until then, so that none is ever without lines and no drain waits. `next` may
+  // differ from what runs in nothing that unapplicable() names.
+  // Not while one takes over, nor while a proxy could not be sent the message that binds it (rule 5):
+  // may_reconfigure() says so.
+  bool may_reconfigure(const Site& next, Ms now) const;
+  void reconfigure(const Site& next, std::uint64_t version, std::uint64_t hash, Ms now);
   void stop(Ms now);  // no new streams; those there are told
 
   // Asks the module, if there is anything to tell it, and does what is due.
@@ -94,6 +124,8 @@
   std::size_t streams() const { return streams_.size(); }
   std::size_t proxies() const { return proxies_.size(); }
   double waiting_lines() const;  // decided and not yet confirmed
+  bool taking_over() const { return modules_.size() > 1; }
+  Fleet fleet(Ms now) const;
   std::string list_bytes() const { return book_.to_bytes(); }
   std::string status_json(Ms now) const;
   telemetry::Figures figures(Ms now);
@@ -103,6 +135,7 @@
     std::uint64_t sequence = 0;
     Ms decided = 0, leaves = 0;  // the channel, at its pace
     double lines = 0;
+    std::uint32_t module = 0;            // that decided it
     std::vector<std::uint32_t> serials;  // of barriers
     bool removes = false;                // a line of a closed endpoint
   };
@@ -115,9 +148,11 @@
     std::uint32_t id = 0;  // of the proxy or the peer
     std::uint64_t incarnation = 0;
     std::uint32_t attempt = 0;
+    std::uint32_t owner = 0;  // the module that orders this proxy
+    double usual = 0;
     std::uint64_t sequence = 0, reported = 0;
     std::deque<Sent> unconfirmed;
-    std::deque<Ms> messages;  // within the span, by when they were decided
+    std::deque<Ms> messages;  // by when they were decided: the span's and some before it
     Ms empty_since = -1;      // bound and without a line for a class, as far as ordered; below 0: not
     Ms due = 0;               // its place in due_
   };
@@ -126,12 +161,25 @@
     std::map<std::uint32_t, std::pair<double, RetryMode>> levels;  // by class
     std::map<ProxyId, ClassMask> users;
   };
-  struct Waiting {  // a message on its way through the channel's pace
+  // One instance of the decision module and what it has ordered for all.
+  struct Module {
+    Brain brain;
+    std::vector<Event> pending;
+    std::multimap<Ms, std::uint64_t> timers;
+    std::set<std::uint32_t> withdrawn;
+    std::map<std::uint32_t, std::pair<double, RetryMode>> every_table;  // levels for all, by class
+    std::map<ProxyId, int> others_sent;  // messages of others since the last ChannelShared
+    double others_lines = 0;             // as last told
+  };
+  using Modules = std::map<std::uint32_t, Module>;  // by number; the last one takes over from those before
+  struct Waiting {                                  // a message on its way through the channel's pace
     Ms leaves = 0;
     StreamId stream{};
     std::shared_ptr<const std::string> bytes;
   };
 
+  static std::size_t spent(const Stream& s, Ms now, Ms span);  // messages within the span
+
   using Streams = std::map<StreamId, Stream>;
   void handle_frame(Streams::iterator s, const channel::Frame& frame, Ms now);
   void open_proxy(Streams::iterator s, const channel::Hello& hello, Ms now);
@@ -146,12 +194,16 @@
   void upkeep(Ms now);
   void dial_peers(Ms now);
 
-  void act(Ms now, const std::vector<Action>& actions);
-  void write(ProxyId proxy, channel::Order order);
-  void write_users(const Table& table, const channel::Order& order);
+  void tell(const Event& event);  // every module
+  void share_channel();
+  void run(std::uint32_t number, Module& module, Ms now);
+  void retire(Ms now);
+  void act(Ms now, std::uint32_t number, Module& module, const std::vector<Action>& actions);
+  void write(std::uint32_t module, ProxyId proxy, channel::Order order);
+  void write_users(std::uint32_t module, const Table& table, const channel::Order& order);
   channel::LineOrder line_of(std::uint32_t table, std::uint32_t endpoint, double weight) const;
-  void bind(const Bind& bind);
-  void send_messages(Ms now);
+  void bind(std::uint32_t number, Module& module, const Bind& bind);
+  void send_messages(Ms now, std::uint32_t module);
   void release_messages(Ms now);
   void note_report(Locality from, const channel::Report& report, Ms now);
   void note_order(const channel::Order& order, Sent& sent) const;
@@ -159,26 +211,23 @@
   double drain_used(Ms now) const;
   void log(log::Level level, std::string event, log::Fields fields);
 
-  const Site& site_;
+  Site site_;
   std::uint64_t epoch_;
-  Brain brain_;
+  Modules modules_;
+  bool sharing_ = false;  // the channel, with another module's messages
   EndpointBook book_;
   Intake intake_;
   Between between_;
-  std::vector<Event> pending_;
   std::vector<Effect> effects_;
   Streams streams_;
-  std::set<std::pair<Ms, StreamId>> due_;    // streams by when they need a look
-  std::map<ProxyId, StreamId> proxies_;      // joined ones
-  std::map<std::uint32_t, StreamId> peers_;  // open streams to them
-  std::map<std::uint32_t, Ms> dial_at_;      // peers to dial, once their time has come
-  std::map<std::uint32_t, Table> tables_;
-  std::set<std::uint32_t> withdrawn_;
-  std::map<std::uint32_t, std::pair<double, RetryMode>> every_table_;  // levels for all, by class
-  std::map<ProxyId, std::vector<channel::Order>> open_;                // this turn's messages
+  std::set<std::pair<Ms, StreamId>> due_;                // streams by when they need a look
+  std::map<ProxyId, StreamId> proxies_;                  // joined ones
+  std::map<std::uint32_t, StreamId> peers_;              // open streams to them
+  std::map<std::uint32_t, Ms> dial_at_;                  // peers to dial, once their time has come
+  std::map<std::uint32_t, Table> tables_;                // by number on the wire
+  std::map<ProxyId, std::vector<channel::Order>> open_;  // this turn's messages
   std::deque<Waiting> waiting_;
   Ms channel_free_ = 0;
-  std::multimap<Ms, std::uint64_t> timers_;
   Ms next_release_ = 0;
   bool watching_ = false, stopping_ = false;
   Counters counters_;
@@ -196,6 +245,7 @@
   std::map<std::uint32_t, std::uint64_t> cuts_;                            // by class
   std::uint64_t ejections_ = 0;
   Ms list_heard_ = 0;
+  Ms wall_less_now_ = 0;  // the wall clock less this one, as last told
 };
 
 }  // namespace beamshunt::assigner
--- a/src/assigner/intake.h
+++ b/src/assigner/intake.h
@@ -21,6 +21,7 @@
  public:
   explicit Intake(double lines_per_s) : lines_per_s_(lines_per_s) {}
 
+  void pace(double lines_per_s) { lines_per_s_ = lines_per_s; }
   void heard(Locality from, const channel::Heard& line, Ms begun, Ms ended);
   void used(ProxyId proxy, const channel::Usage& line, Ms begun, Ms ended);
   void forget(ProxyId proxy);  // it left: what it reported of its own requests has no owner any more
--- a/src/assigner/schema.cpp
+++ b/src/assigner/schema.cpp
@@ -90,9 +90,32 @@
     most_frame: size & >=1KiB & <=4MiB | *4MiB
   }
   stop_within: duration & >=0ms | *1s
+  control?: #Control             // settings that change while it runs
   remote_write?: #RemoteWrite
   site: #Site
 }
+#Control: {                      // a control service of settings, and what is done with its versions
+  origin: string & !=""          // whose versions are taken; other origins' numbers mean nothing
+  services: [...address]         // dialled in this order, one at a time
+  heartbeat: duration & >=10ms & <=60s | *1s
+  deliver_within: duration & >=100ms | *10s  // from a version's first part to its last
+  backoff: {
+    least: duration & >0ms | *200ms
+    most: duration & >0ms | *10s
+  }
+  most_frame: size & >=1KiB & <=4MiB | *1MiB
+  most_bytes: size & >=1KiB & <=64MiB | *4MiB  // of a version
+  most_resources: int & >0 & <=100000 | *1000
+  shadow: {                      // the rehearsal of a version before it is taken
+    length: duration & >=0ms & <=60s | *4s  // of simulated time; 0: none
+    budget: duration & >0ms | *2s           // of real time
+  }
+  watch: {                       // of a version in force; it goes back by itself
+    time: duration & >=0ms | *30s
+    service_drop: number & >0 & <=1 | *0.1   // of the part served in time, against the time before
+    least_requests: int & >0 | *100          // that the figures must be made of
+  }
+}
 #RemoteWrite: {                  // figures to a Prometheus remote write receiver
   url: string & =~"^https?://[0-9.]+:[0-9]+/"
   ca_file: string | *""          // for https: whom to trust; the system's if there is none
--- a/src/assigner/site.cpp
+++ b/src/assigner/site.cpp
@@ -131,6 +131,22 @@
   return out;
 }
 
+Site::Control read_control(const Tree& tree) {
+  Site::Control out;
+  out.origin = tree.string("origin");
+  for (const Tree& service : tree.at("services").items) out.services.push_back(address(service));
+  out.heartbeat = tree.real("heartbeat"), out.deliver_within = tree.real("deliver_within");
+  out.backoff_least = tree.at("backoff").real("least"), out.backoff_most = tree.at("backoff").real("most");
+  out.most_frame = static_cast<std::size_t>(tree.whole("most_frame"));
+  out.most_bytes = static_cast<std::size_t>(tree.whole("most_bytes"));
+  out.most_resources = static_cast<std::size_t>(tree.whole("most_resources"));
+  out.shadow_length = tree.at("shadow").real("length"), out.shadow_budget = tree.at("shadow").real("budget");
+  const Tree& watch = tree.at("watch");
+  out.watch = watch.real("time"), out.service_drop = watch.real("service_drop");
+  out.least_requests = watch.real("least_requests");
+  return out;
+}
+
 }  // namespace
 
 void read_site(const Tree& site, Site& out) {
@@ -222,6 +238,7 @@
   out.most_unsent = static_cast<std::size_t>(streams.whole("most_unsent"));
   out.most_frame = static_cast<std::size_t>(streams.whole("most_frame"));
   out.stop_within = tree.real("stop_within");
+  if (auto* control = tree.find("control")) out.control = read_control(*control);
   if (auto* remote = tree.find("remote_write")) out.remote_write = read_remote_write(*remote, out);
   return out;
 }
--- a/src/assigner/site.h
+++ b/src/assigner/site.h
@@ -39,6 +39,16 @@
   double report_lines_per_s = 0;  // given to the module at most
   Ms probe_timeout = 0, list_quiet = 0;
   std::optional<telemetry::WriterSettings> remote_write{};
+  struct Control {
+    std::string origin;
+    std::vector<net::Address> services;
+    Ms heartbeat = 0, deliver_within = 0, backoff_least = 0, backoff_most = 0;
+    std::size_t most_frame = 0, most_bytes = 0, most_resources = 0;
+    Ms shadow_length = 0, shadow_budget = 0;
+    Ms watch = 0;
+    double service_drop = 0, least_requests = 0;
+  };
+  std::optional<Control> control{};
   Ms stop_within = 0;  // SIGTERM: time to send what is queued
 };
 
--- a/src/config/value.cpp
+++ b/src/config/value.cpp
@@ -560,14 +560,66 @@
 long long Tree::whole(std::string_view name) const { return std::llround(at(name).number); }
 const std::string& Tree::string(std::string_view name) const { return at(name).text; }
 
-Tree load(const Source& schema, std::string_view root, const std::vector<Source>& sources) {
+namespace {
+
+void add_paths(const Node& node, const std::string& path, const Position& at,
+               std::vector<std::pair<std::string, Position>>& out) {
+  if (node.kind != Node::Kind::structure || (node.fields.empty() && !path.empty()))
+    return out.push_back({path, at});
+  for (const FieldNode& f : node.fields) add_paths(*f.value, joined(path, f.name), f.at, out);
+}
+void add_paths(const Tree& tree, const std::string& path, std::vector<std::string>& out) {
+  if (tree.kind != Tree::Kind::structure) return out.push_back(path);
+  for (auto& [name, field] : tree.fields) add_paths(field, joined(path, name), out);
+}
+
+// `below` without the fields that `above` gives. Definitions stay: they give nothing by themselves.
+NodePtr without(const NodePtr& below, const Node& above) {
+  auto out = std::make_shared<Node>(*below);
+  out->fields.clear();
+  for (const FieldNode& f : below->fields) {
+    const FieldNode* over = nullptr;
+    for (const FieldNode& g : above.fields)
+      if (g.name == f.name) over = &g;
+    if (!over || f.name.starts_with("#")) {
+      out->fields.push_back(f);
+    } else if (over->value->kind == Node::Kind::structure && f.value->kind == Node::Kind::structure) {
+      out->fields.push_back(f);
+      out->fields.back().value = without(f.value, *over->value);
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
+std::vector<std::pair<std::string, Position>> given_paths(const Source& source) {
+  std::vector<std::pair<std::string, Position>> out;
+  NodePtr all = parse(source.text, source.name);
+  add_paths(*all, "", all->at, out);
+  return out;
+}
+
+std::vector<std::string> paths(const Tree& tree) {
+  std::vector<std::string> out;
+  add_paths(tree, "", out);
+  return out;
+}
+
+Tree load(const Source& schema, std::string_view root, const std::vector<Source>& sources,
+          const std::vector<Source>& over) {
   Unifier unifier;
   Evaluator schema_names(unifier), file_names(unifier);
   NodePtr rules = parse(schema.text, schema.name);
   schema_names.declare(rules), file_names.declare(rules);
   std::vector<NodePtr> files;
-  for (auto& source : sources)
-    files.push_back(parse(source.text, source.name)), file_names.declare(files.back());
+  for (auto& source : sources) files.push_back(parse(source.text, source.name));
+  std::vector<NodePtr> above;
+  for (auto& source : over) above.push_back(parse(source.text, source.name));
+  for (NodePtr& file : files)
+    for (auto& top : above) file = without(file, *top);
+  files.insert(files.end(), above.begin(), above.end());
+  for (auto& file : files) file_names.declare(file);
 
   Node start;
   start.kind = Node::Kind::name;
--- a/src/config/value.h
+++ b/src/config/value.h
@@ -48,7 +48,16 @@
 
 // The definition `root` (such as "#Assigner") of the schema, unified with the fields of all sources.
 // Throws ConfigError: one line for each fault found, "file:line:column: path: reason".
-Tree load(const Source& schema, std::string_view root, const std::vector<Source>& sources);
+// Sources in `over` take the place of what the others give: field by field in structures, lists as a whole.
+// Among themselves they unify like the others.
+Tree load(const Source& schema, std::string_view root, const std::vector<Source>& sources,
+          const std::vector<Source>& over = {});
+
+// The paths of all fields that the text gives, "site.channel.delay", each with its place; lists are one
+// field. Throws ConfigError.
+std::vector<std::pair<std::string, Position>> given_paths(const Source& source);
+// The same of a tree.
+std::vector<std::string> paths(const Tree& tree);
 
 // As text that load() takes again; with `origins`, each value's place behind it.
 std::string print(const Tree& tree, bool origins);
--- a/src/net/address.cpp
+++ b/src/net/address.cpp
@@ -50,6 +50,8 @@
 
 PrefixMap::PrefixMap() : state_(std::make_unique<State>()) {}
 PrefixMap::~PrefixMap() = default;
+PrefixMap::PrefixMap(const PrefixMap& other) : state_(std::make_unique<State>(*other.state_)) {}
+PrefixMap& PrefixMap::operator=(const PrefixMap& other) { return *this = PrefixMap(other); }
 PrefixMap::PrefixMap(PrefixMap&&) noexcept = default;
 PrefixMap& PrefixMap::operator=(PrefixMap&&) noexcept = default;
 
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -25,6 +25,8 @@
  public:
   PrefixMap();
   ~PrefixMap();
+  PrefixMap(const PrefixMap&);
+  PrefixMap& operator=(const PrefixMap&);
   PrefixMap(PrefixMap&&) noexcept;
   PrefixMap& operator=(PrefixMap&&) noexcept;
 
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -644,6 +644,7 @@
   }
 
   void on(const OrderApplied& e) { channel.applied(e.proxy, e.serial); }
+  void on(const ChannelShared& e) { channel.share(e.lines, e.messages, now); }  // rule 5 is kept together
 
   // ---- Sites with slices ----
   void on(const SliceGiven& e) {
--- a/src/policy/brain.h
+++ b/src/policy/brain.h
@@ -144,8 +144,13 @@
   EndpointId endpoint{};
   double weight = 0;
 };
-using Event = std::variant<EndpointList, TimerFired, ProbeResult, PeerMessage, ProxyJoined, ProxyLeft,
-                           OrderApplied, EndpointHeard, ProxyUsage, SliceUsage, SliceGiven, SliceHeld>;
+struct ChannelShared {  // an instance that takes this one's place, or whose place this one takes, orders too
+  double lines = 0;     // of its messages that are not confirmed
+  std::map<ProxyId, int> messages;  // that it sent since the last such event; at first, within the span
+};
+using Event =
+    std::variant<EndpointList, TimerFired, ProbeResult, PeerMessage, ProxyJoined, ProxyLeft, OrderApplied,
+                 EndpointHeard, ProxyUsage, SliceUsage, SliceGiven, SliceHeld, ChannelShared>;
 
 // Actions.
 struct WatchList {
--- a/src/policy/channel.h
+++ b/src/policy/channel.h
@@ -21,7 +21,7 @@
       : overhead_(set.envelope_lines + 1), lines_per_s_(set.egress_lines_per_s), span_(set.pushes_span) {}
 
   // Lines, at most: sent and not yet confirmed as applied, or still to go out to proxies that have left.
-  double waiting(Time now) const { return waiting_ + orphaned(now); }
+  double waiting(Time now) const { return waiting_ + others_ + orphaned(now); }
 
   // Messages to one of the proxies within the span, at most, one more included.
   double most_messages(const std::set<ProxyId>& proxies, Time now) {
@@ -64,6 +64,15 @@
     queue.erase(queue.begin(), hit + 1);
   }
 
+  // Another instance's lines in the same channel, and its messages to the same proxies.
+  void share(double lines, const std::map<ProxyId, int>& messages, Time now) {
+    others_ = lines;
+    for (auto [proxy, count] : messages) {
+      auto& times = sent_[proxy].times;
+      times.insert(times.end(), static_cast<std::size_t>(std::max(0, count)), now);
+    }
+  }
+
   // The stream is gone: nothing more is confirmed, but what waits in the channel takes its time to leave.
   void forget(ProxyId proxy, Time now) {
     if (auto open = open_.extract(proxy)) waiting_ -= open.mapped();
@@ -83,7 +92,7 @@
     return std::max(0.0, orphans_ - lines_per_s_ * ((now - orphans_at_) / Duration(1000)));
   }
 
-  double overhead_, lines_per_s_, waiting_ = 0, orphans_ = 0;
+  double overhead_, lines_per_s_, waiting_ = 0, others_ = 0, orphans_ = 0;
   Time orphans_at_{};
   Duration span_;
   std::uint16_t serial_ = 0;  // the wire's barriers have so many bits
--- a/src/record/policy_fields.h
+++ b/src/record/policy_fields.h
@@ -72,6 +72,10 @@
 void fields(A& a, SliceHeld& x) {
   a(x.slice, x.endpoint, x.weight);
 }
+template <class A>
+void fields(A& a, ChannelShared& x) {
+  a(x.lines, x.messages);
+}
 
 template <class A>
 void fields(A& a, WatchList& x) {
--- a/src/record/record.cpp
+++ b/src/record/record.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <map>
 #include <optional>
 #include <stdexcept>
 
@@ -15,8 +16,8 @@
 
 using base::raw;
 
-constexpr std::uint16_t kVersion = 1;
-enum class Kind : std::uint8_t { opening = 1, batch = 2 };
+constexpr std::uint16_t kVersion = 2;
+enum class Kind : std::uint8_t { opening = 1, batch = 2, applied = 3 };
 
 std::string encoded(const Action& action) {
   base::Encoder e;
@@ -45,15 +46,22 @@
 
 }  // namespace
 
-std::string opening(const Settings& settings) {
+std::string opening(const Settings& settings, std::uint32_t module) {
   base::Encoder e;
-  e(Kind::opening, kVersion, settings);
+  e(Kind::opening, kVersion, module, settings);
   return base::sealed(e.bytes());
 }
 
-std::string batch(Time now, const std::vector<Event>& events, const std::vector<Action>& actions) {
+std::string batch(Time now, const std::vector<Event>& events, const std::vector<Action>& actions,
+                  std::uint32_t module) {
   base::Encoder e;
-  e(Kind::batch, now, events, actions);
+  e(Kind::batch, module, now, events, actions);
+  return base::sealed(e.bytes());
+}
+
+std::string applied(Time now, std::uint64_t version, std::uint64_t hash) {
+  base::Encoder e;
+  e(Kind::applied, now, version, hash);
   return base::sealed(e.bytes());
 }
 
@@ -92,7 +100,7 @@
 
 Replay replay(std::string_view file) {
   Replay out;
-  std::optional<Brain> brain;
+  std::map<std::uint32_t, Brain> modules;
   std::size_t offset = 0;
   while (offset < file.size()) {
     std::size_t begin = offset;
@@ -114,19 +122,33 @@
         Settings settings;
         d(version);
         if (version != kVersion) d.fail(fmt::format("a record of version {}, not {}", version, kVersion));
-        d(settings);
+        std::uint32_t module = 0;
+        d(module, settings);
+        d.end();
+        if (module == 0) modules.clear(), ++out.runs;
+        else if (modules.empty()) d.fail("a module that takes the place of none");
+        else ++out.takeovers;
+        modules.insert_or_assign(module, Brain(std::move(settings)));
+        continue;
+      }
+      if (kind == Kind::applied) {
+        Time at;
+        std::uint64_t version = 0, hash = 0;
+        d(at, version, hash);
         d.end();
-        brain.emplace(std::move(settings));
-        ++out.runs;
+        ++out.versions;
         continue;
       }
-      if (kind != Kind::batch || !brain) d.fail("not an opening or a batch behind one");
+      std::uint32_t module = 0;
+      if (kind == Kind::batch) d(module);
+      auto brain = modules.find(module);
+      if (kind != Kind::batch || brain == modules.end()) d.fail("not an opening or a batch behind one");
       Time now;
       std::vector<Event> events;
       std::vector<Action> then;
       d(now, events, then);
       d.end();
-      std::vector<Action> again = brain->handle(now, events);
+      std::vector<Action> again = brain->second.handle(now, events);
       ++out.batches, out.events += events.size(), out.actions += then.size();
       out.difference = difference(begin, now, then, again);
       if (!out.same()) return out;
--- a/src/standin/proxy.cpp
+++ b/src/standin/proxy.cpp
@@ -214,6 +214,7 @@
 void Proxy::frame(const channel::Frame& f) {
   if (auto* welcome = std::get_if<channel::Welcome>(&f)) {
     heartbeat_ = welcome->heartbeat_ms, period_ = welcome->report_period_ms;
+    if (joined_) return;  // other settings, the same stream
     epoch_ = welcome->epoch, applied_ = 0;
     joined_ = true;
     world_.note(StreamUp{model_.spec().id, options_.assigners[choice_].instance});
