A gate for versions of the settings: proofs, then a rehearsal that the audit judges

A version may be sound in form and still break a rule for this fleet: a drain grace under the channel's delay, a queue below one bind of the fleet, a promise that cold servers never made.

- gate/prove: reasons with rule, path, figures and a value that would do; faults that the present settings have in the same figures are not held against the change.
- gate/shadow: a copy of the core goes over to the version in simulated time, models of proxies and servers obey it, with a drain and a restart on the way; the audit judges it against the same without the change.
One function is the door for a fuller model.

--- a/src/alerts/rules.cpp
+++ b/src/alerts/rules.cpp
@@ -217,8 +217,7 @@
 
 }  // namespace
 
-std::vector<Rule> read_rules(const std::string& file) {
-  YAML::Node root = load(file);
+static std::vector<Rule> rules_of(const YAML::Node& root, const std::string& file) {
   std::vector<Rule> out;
   try {
     known_fields(file, root, {"groups"});
@@ -243,6 +242,24 @@
   return out;
 }
 
+std::vector<Rule> read_rules(const std::string& file) { return rules_of(load(file), file); }
+
+std::vector<Rule> parse_rules(const std::string& text, const std::string& name) {
+  try {
+    return rules_of(YAML::Load(text), name);
+  } catch (const YAML::Exception& error) {
+    throw std::runtime_error(fmt::format("{}:{}: {}", name, error.mark.line + 1, error.msg));
+  }
+}
+
+telemetry::Scrape all_exported() {
+  telemetry::Exporter exporter(telemetry::Labels{{"instance", "0"}});
+  telemetry::Figures figures;
+  figures.service.push_back({"north", "read"});
+  figures.levels.push_back({"read"});
+  return exporter.scrape(figures, 1);
+}
+
 std::vector<std::string> check_rules(const std::vector<Rule>& rules, const telemetry::Scrape& exported) {
   std::map<std::string, std::set<std::string>> known;  // metric to its labels
   std::set<std::string> all_labels;
--- a/src/alerts/rules.h
+++ b/src/alerts/rules.h
@@ -21,6 +21,9 @@
 
 // Throws std::runtime_error: "file:line: what is wrong".
 std::vector<Rule> read_rules(const std::string& file);
+std::vector<Rule> parse_rules(const std::string& text, const std::string& name);
+// One sample of every series that the program exports, with every kind of label there is.
+telemetry::Scrape all_exported();
 
 // What is wrong with rules as a whole: a metric or label that the program never exports, a name given twice,
 // a runbook link that is missing. One line each.
--- a/src/assigner/streamed.h
+++ b/src/assigner/streamed.h
@@ -50,6 +50,7 @@
   const Site& next;
   const Fleet& fleet;
   const configstream::Resources& resources;
+  const std::vector<std::string>& changed;  // paths that differ in text from what runs
 };
 using Gate = std::function<std::vector<configstream::Reason>(const Candidate& candidate)>;
 
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -157,12 +157,7 @@
   std::vector<alerts::Rule> rules;
   for (const std::string& file : files)
     for (alerts::Rule& rule : alerts::read_rules(file)) rules.push_back(std::move(rule));
-  // What the program exports, with every kind of label there is.
-  telemetry::Exporter exporter(telemetry::Labels{{"instance", "0"}});
-  telemetry::Figures figures;
-  figures.service.push_back({"north", "read"});
-  figures.levels.push_back({"read"});
-  std::vector<std::string> wrong = alerts::check_rules(rules, exporter.scrape(figures, 1));
+  std::vector<std::string> wrong = alerts::check_rules(rules, alerts::all_exported());
   for (const std::string& line : wrong) fmt::print("{}\n", line);
   if (wrong.empty()) fmt::print("sound: {} alerts\n", rules.size());
   return wrong.empty() ? kWell : kBroken;
--- /dev/null
+++ b/src/gate/gate.h
@@ -0,0 +1,12 @@
+// The gate that every version of streamed settings passes before it is taken: what can be shown by reasoning,
+// then a rehearsal, within a budget of real time. Called off the loop.
+#pragma once
+
+#include "assigner/streamed.h"
+
+namespace beamshunt::gate {
+
+// For assigner::serve(): alerts resources, proofs, and the shadow as `control` of the present site sets it.
+std::vector<configstream::Reason> judge(const assigner::Candidate& candidate);
+
+}  // namespace beamshunt::gate
--- /dev/null
+++ b/src/gate/prove.h
@@ -0,0 +1,18 @@
+// What can be shown of a version of the settings by reasoning alone: that with this fleet it would break one
+// of the five rules. Pure. Each reason names the rule, the field, the figures and a value that would do.
+#pragma once
+
+#include <vector>
+
+#include "assigner/streamed.h"
+
+namespace beamshunt::gate {
+
+using assigner::Fleet;
+using assigner::Site;
+using configstream::Reason;
+
+// Faults that `now` has as well, in the same figures, are not the change's and left out.
+std::vector<Reason> prove(const Site& now, const Site& next, const Fleet& fleet);
+
+}  // namespace beamshunt::gate
--- /dev/null
+++ b/src/gate/shadow.h
@@ -0,0 +1,36 @@
+// A version rehearsed: a copy of the host's core with the present settings is given the present fleet, goes
+// over to the new ones, and its orders are obeyed by models of proxies and servers in simulated time, with a
+// drain and a restart on the way. The audit judges it by the five rules; the same without the change is the
+// measure. Pure, and the same for the same fleet and seed.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "assigner/streamed.h"
+#include "audit/rules.h"
+
+namespace beamshunt::gate {
+
+using base::Ms;
+
+struct Rehearsal {
+  audit::Verdict verdict;
+  double service = 1;  // worth answered in time over worth asked for, after the change
+  double requests = 0;
+  bool finished = true;  // within the budget of real time
+};
+
+struct ShadowOptions {
+  Ms settle = 2000, length = 4000;                   // simulated: before the change, after it
+  std::size_t most_proxies = 48, most_servers = 60;  // of a larger fleet a part, with its part of the channel
+  std::uint64_t seed = 1;
+  std::function<bool()> out_of_budget = [] { return false; };
+};
+
+// The narrow door to a model of servers and proxies: a fuller one takes this one's place.
+Rehearsal rehearse(const assigner::Site& now, const assigner::Site& next, const assigner::Fleet& fleet,
+                   const ShadowOptions& options);
+
+}  // namespace beamshunt::gate
--- a/tests/assigner/streamed_test.cpp
+++ b/tests/assigner/streamed_test.cpp
@@ -48,7 +48,8 @@
   EXPECT_NE(first(two).find("conflicts with 3ms at limits/a@1"), std::string::npos) << first(two);
 }
 
-// Every field of the schema says how a change of it takes effect, and every one that may be streamed has a type.
+// Every field of the schema says how a change of it takes effect, and every one that may be streamed has a
+// type.
 TEST(Streamed, EveryFieldOfTheSchemaHasAWayToTakeEffect) {
   std::string all = kSite;
   all += R"(
