--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -351,6 +351,7 @@
 
 int measure(const MeasureArguments& a) {
   if (a.metrics) measure::measure_metrics(a.seconds / 10);
+  else if (a.config) measure::measure_config({own_program(), a.active, a.idle, a.servers, a.seconds});
   else if (a.echo.empty()) measure::measure_channel({own_program(), a.active, a.idle, a.servers, a.seconds});
   else measure::echo(a.echo);
   return kWell;
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -39,7 +39,7 @@
 struct MeasureArguments {
   int active = 1000, idle = 10000, servers = 50;
   double seconds = 10;
-  bool metrics = false;
+  bool metrics = false, config = false;
   std::string echo;
 };
 int measure(const MeasureArguments& arguments);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -109,6 +109,7 @@
   measure_command->add_option("--servers", m.servers, "on the list");
   measure_command->add_option("--seconds", m.seconds, "of each measurement");
   measure_command->add_flag("--metrics", m.metrics, "the path of figures instead: encoding and buffer");
+  measure_command->add_flag("--config", m.config, "versions of streamed settings instead");
   measure_command->add_option("--echo", m.echo, "be the floor at this address")->group("");
   measure_command->callback([&] { result = measure(m); });
 
--- a/src/measure/measure.cpp
+++ b/src/measure/measure.cpp
@@ -16,6 +16,7 @@
 #include "base/file.h"
 #include "channel/frames.h"
 #include "process/child.h"
+#include "standin/control.h"
 #include "standin/list.h"
 #include "standin/receiver.h"
 
@@ -27,7 +28,7 @@
 
 constexpr std::uint32_t kLoopback = 127u << 24 | 200u << 16;  // 127.200.0.0/16 is the measurements' own
 constexpr net::Address kChannel{kLoopback | 1, 7000}, kAdmin{kLoopback | 1, 7001}, kList{kLoopback | 2, 7100},
-    kEcho{kLoopback | 3, 7200}, kReceiver{kLoopback | 4, 9090};
+    kEcho{kLoopback | 3, 7200}, kReceiver{kLoopback | 4, 9090}, kControl{kLoopback | 5, 7300};
 constexpr std::size_t kInFlight = 8;  // reports or echoes a stream has out at once when it floods
 
 rlim_t raise_descriptors() {  // to what this process may have; how many that is
@@ -191,6 +192,15 @@
     std::filesystem::remove_all(folder_, none);
   }
 
+  // From a version's offer to its answer, with and without the rehearsal by turns, and the loop meanwhile.
+  void run_config() {
+    fmt::print("measurement,figure,value\n");
+    standin::Receiver receiver(world_, kReceiver);
+    for (const char* kind :
+         {"no versions", "without the shadow", "with the shadow", "without the shadow", "with the shadow"})
+      answer_times(kind, receiver);
+  }
+
   void run() {
     fmt::print("measurement,figure,value\n");
     double floor = echo_floor();
@@ -339,6 +349,50 @@
     list_->change(l, 0);
     world_.reactor.at(world_.now() + 100, [this, turn] { change_list(turn + 1); });
   }
+  void answer_times(const std::string& kind, standin::Receiver& receiver) {
+    constexpr Ms kEvery = 100;
+    standin::ControlService service(world_, kControl, "ops");
+    auto child = start_assigner(
+        60000,
+        fmt::format("control: {{origin: \"ops\", services: [\"{}\"], watch: time: 0ms, shadow: length: {}}}\n"
+                    "remote_write: {{url: \"http://{}/w\", interval: 100ms}}",
+                    net::to_string(kControl), kind == "with the shadow" ? "4s" : "0ms",
+                    net::to_string(kReceiver)));
+    Swarm swarm(world_.reactor);
+    swarm.servers = o_.servers;
+    swarm.open(o_.active, false);
+    until([&] { return swarm.ready == swarm.size() && service.subscribers() > 0; }, 30000);
+    swarm.report_each(250);
+    wait(3000);
+    auto since = static_cast<std::int64_t>(base::wall_ms());
+    Ms end = world_.now() + o_.seconds * 1000;
+    for (int k = 0; world_.now() < end; ++k) {  // each takes effect in place: no take-over is waited for
+      if (kind != "no versions")
+        service.publish({{{"settings", "site"}, fmt::format("streams: hello_within: {}ms", 1000 + k)}});
+      wait(kEvery);
+    }
+    std::vector<double> took, lag;
+    for (auto& a : service.answers()) took.push_back(a.took);
+    for (auto& [labels, samples] : receiver.store().series())
+      if (telemetry::label_of(labels, "__name__") == "beamshunt_loop_lag_seconds")
+        for (auto& [at, value] : samples)
+          if (at > since && !telemetry::is_stale_marker(value)) lag.push_back(value * 1000);
+    auto part = [](std::vector<double>& values, double q) {
+      std::sort(values.begin(), values.end());
+      return values.empty() ? 0.0
+                            : values[static_cast<std::size_t>(q * static_cast<double>(values.size() - 1))];
+    };
+    if (!took.empty())
+      fmt::print(
+          "{0},versions answered,{1}\n{0},offer to answer p50 ms,{2:.2f}\n{0},offer to answer p99 "
+          "ms,{3:.2f}\n",
+          kind, took.size(), part(took, 0.5), part(took, 0.99));
+    fmt::print(
+        "{0},longest turn of the loop in 100 ms p50 ms,{1:.2f}\n{0},longest turn of the loop in 100 ms p99 "
+        "ms,{2:.2f}\n",
+        kind, part(lag, 0.5), part(lag, 0.99));
+    std::fflush(stdout);
+  }
   void idle_streams() {
     auto child = start_assigner(5000);
     double memory = child->resident_kib();
@@ -365,6 +419,8 @@
 
 }  // namespace
 
+void measure_config(const Options& options) { Bench(options).run_config(); }
+
 void measure_channel(const Options& options) { Bench(options).run(); }
 
 void echo(const std::string& address) {
--- a/src/measure/measure.h
+++ b/src/measure/measure.h
@@ -16,6 +16,9 @@
 // Prints a table to standard output. Throws std::runtime_error if it can't be run.
 void measure_channel(const Options& options);
 
+// Versions of streamed settings: offer to answer, and what the loop feels of it. The same.
+void measure_config(const Options& options);
+
 // Encoding and the durable buffer of figures, beside snappy and memcpy. Prints a table.
 void measure_metrics(double seconds);
 
--- a/tests/assigner/streamed_test.cpp
+++ b/tests/assigner/streamed_test.cpp
@@ -308,7 +308,8 @@
   EXPECT_NE(why(R"(site: classes: [{name: "read", slo: 500ms, deadline: 2s}])").find("\"write\""),
             std::string::npos);
   EXPECT_EQ(why(R"(site: classes: [{name: "read", slo: 500ms, deadline: 2s, semantics: "retryable"},
-                 {name: "write", slo: 500ms, deadline: 2s, home_only: true}, {name: "new", slo: 1s, deadline: 2s}])"),
+                 {name: "write", slo: 500ms, deadline: 2s, home_only: true},
+                 {name: "new", slo: 1s, deadline: 2s}])"),
             "");
 }
 
--- a/tests/gate/changes.h
+++ b/tests/gate/changes.h
@@ -1,4 +1,5 @@
-// Changes of settings with what is known of them: whether they would harm the fleet of the test, and which rule.
+// Changes of settings with what is known of them: whether they would harm the fleet of the test, and by which
+// rule.
 #pragma once
 
 #include <string>
@@ -32,7 +33,8 @@
   proxies: 8
   channel: {lines_per_s: 2000/s, most_waiting_lines: 2000, delay: 20ms, delay_most: 100ms}
   reports: {period: 250ms, lines_per_s: 1000/s}
-  guarantees: {empty_for: 2s, drain_grace: 1s, warm_up: 3s, fall: 800ms, start_capacity: 0.25, tip_multiple: 4}
+  guarantees: {empty_for: 2s, drain_grace: 1s, warm_up: 3s, fall: 800ms}
+  guarantees: {start_capacity: 0.25, tip_multiple: 4}
 }
 )";
 
@@ -40,8 +42,8 @@
   return "site: classes: [" + read + ", " + buy + ", " + pay + "]";
 }
 inline const char* kRead = R"({name: "read", slo: 500ms, deadline: 2s, semantics: "retryable"})";
-inline const char* kBuy =
-    R"({name: "buy", slo: 500ms, deadline: 2s, worth: 3, semantics: "dedup", dedup: {scope: "cell", window: 3s}})";
+inline const char* kBuy = R"({name: "buy", slo: 500ms, deadline: 2s, worth: 3, semantics: "dedup",
+    dedup: {scope: "cell", window: 3s}})";
 inline const char* kPay = R"({name: "pay", slo: 500ms, deadline: 2s, worth: 3})";
 inline std::string buy(const std::string& dedup, const std::string& slo = "500ms") {
   return "{name: \"buy\", slo: " + slo + ", deadline: 4s, worth: 3, semantics: \"dedup\", dedup: " + dedup +
