--- a/src/gate/shadow.cpp
+++ b/src/gate/shadow.cpp
@@ -23,6 +23,7 @@
 constexpr Ms kStart = 1e6;                     // an instant as good as any
 constexpr double kWall = 1.7e12;               // and its wall clock
 constexpr Ms kWorkLeast = 1, kWorkMost = 200;  // bounds of a request's work that reports make
+constexpr double kMostRate = 3000;             // requests/s: fewer and larger ones keep servers as busy
 constexpr double kUsualLoad = 0.5;             // of servers that have not said how busy they are
 constexpr double kUsualRate = 10;              // requests/s of a proxy that has not said
 constexpr Ms kProbeTook = 2;
@@ -162,7 +163,7 @@
     // What a request costs, by what servers say of themselves; then as many as keep them as busy as they are.
     work_ =
         known > 0 && rate > 0 && busy > 0 ? busy / rate * 1000 : load * size / std::max(1.0, usual) * 1000;
-    work_ = std::clamp(work_, kWorkLeast, kWorkMost);
+    work_ = std::clamp(std::max(work_, load * size / kMostRate * 1000), kWorkLeast, kWorkMost);
     all_rate_ = load * size / work_ * 1000;
     Ms window = 0;
     for (const RequestClass& c : now_.policy.classes) window = std::max(window, c.dedup_window.count());
--- a/src/measure/measure.cpp
+++ b/src/measure/measure.cpp
@@ -353,6 +353,7 @@
   void answer_times(const std::string& kind, standin::Receiver& receiver) {
     constexpr Ms kEvery = 100;
     standin::ControlService service(world_, kControl, "ops");
+    service.skip_to(next_version_);  // the state folder knows the versions of the turn before
     auto child = start_assigner(
         60000,
         fmt::format("control: {{origin: \"ops\", services: [\"{}\"], watch: time: 0ms, shadow: length: {}}}\n"
@@ -368,12 +369,21 @@
     auto since = static_cast<std::int64_t>(base::wall_ms());
     Ms end = world_.now() + o_.seconds * 1000;
     for (int k = 0; world_.now() < end; ++k) {  // each takes effect in place: no take-over is waited for
-      if (kind != "no versions")
+      if (kind != "no versions") {
+        std::size_t answered = service.answers().size();
         service.publish({{{"settings", "site"}, fmt::format("streams: hello_within: {}ms", 1000 + k)}});
+        until([&] { return service.answers().size() > answered; }, 10000);
+      }
       wait(kEvery);
     }
     std::vector<double> took, lag;
-    for (auto& a : service.answers()) took.push_back(a.took);
+    for (auto& a : service.answers()) {
+      if (a.answer.verdict != configstream::Verdict::ack)
+        throw std::runtime_error("a sound version was not taken: " +
+                                 configstream::to_string(a.answer.reasons.at(0)));
+      took.push_back(a.took);
+      next_version_ = a.answer.number + 1;
+    }
     for (auto& [labels, samples] : receiver.store().series())
       if (telemetry::label_of(labels, "__name__") == "beamshunt_loop_lag_seconds")
         for (auto& [at, value] : samples)
@@ -411,6 +421,7 @@
     fmt::print("idle,streams still open,{}\n", swarm.ready);
   }
 
+  std::uint64_t next_version_ = 1;
   Options o_;
   std::string folder_;
   standin::World world_;
