--- a/src/assigner/config_feed.cpp
+++ b/src/assigner/config_feed.cpp
@@ -268,6 +268,12 @@
 // A fresh module must be able to bind every proxy at once: until it is, the version waits before it is acked.
 void ConfigFeed::let_through(std::uint64_t ticket, std::shared_ptr<const Site> site, std::uint64_t hash,
                              Ms limit) {
+  // The fleet may have changed since the gate looked; this much must hold at the instant itself.
+  auto reasons = unapplicable(host_.site(), *site, host_.fleet());
+  if (!reasons.empty()) {
+    client_.checked(ticket, std::move(reasons), reactor_.now());
+    return soon();
+  }
   if (!to_apply_ && host_.may_apply(*site)) {
     passed_ = Passed{hash, std::move(site)};
     client_.checked(ticket, {}, reactor_.now());
@@ -499,6 +505,14 @@
   return out.dump();
 }
 
+void ConfigFeed::fill(telemetry::Figures& figures) const {
+  const configstream::ClientCounters& c = client_.counters();
+  figures.config_version = static_cast<double>(client_.in_force().number);
+  figures.config_streaming = client_.streaming();
+  figures.config_acked = c.acked, figures.config_nacked = c.nacked;
+  figures.config_superseded = c.superseded, figures.config_reverted = c.reverted;
+}
+
 std::string ConfigFeed::alerts() const {
   std::string out;
   for (auto& [key, resource] : client_.in_force().resources)
--- a/src/assigner/config_feed.h
+++ b/src/assigner/config_feed.h
@@ -52,6 +52,7 @@
   void unpin(Done done);
   void forgive(std::uint64_t number, Done done);
   std::string status_json() const;
+  void fill(telemetry::Figures& figures) const;
   std::string alerts() const;  // rules in force, as files of Prometheus' format, one after the other
 
  private:
--- a/src/assigner/service.cpp
+++ b/src/assigner/service.cpp
@@ -322,6 +322,7 @@
         [this] {
           telemetry::Figures f = core_.figures(reactor_.now());
           f.loop_lag_s = reactor_.take_longest_turn() / 1000;
+          if (feed_) feed_->fill(f);
           return f;
         },
         [this](const std::string& event, const std::string& reason) {
--- a/src/channel/frames.cpp
+++ b/src/channel/frames.cpp
@@ -16,10 +16,6 @@
   a(x.version, x.epoch, x.heartbeat_ms, x.report_period_ms);
 }
 template <class A>
-void fields(A& a, Refuse& x) {
-  a(x.code, x.retry_after_ms, x.reason);
-}
-template <class A>
 void fields(A& a, LineOrder& x) {
   a(x.table, x.endpoint, x.weight, x.locality, x.cell, x.ip, x.port);
 }
@@ -64,14 +60,6 @@
   a(x.sequence, x.span_ms, x.heard, x.usage);
 }
 template <class A>
-void fields(A& a, Ping& x) {
-  a(x.token);
-}
-template <class A>
-void fields(A& a, Pong& x) {
-  a(x.token);
-}
-template <class A>
 void fields(A& a, PeerHello& x) {
   a(x.magic, x.version, x.instance);
 }
@@ -96,9 +84,6 @@
 const char* fault(const Welcome& x) {
   return sane(x.heartbeat_ms) && sane(x.report_period_ms) ? nullptr : "a time below 0 or not finite";
 }
-const char* fault(const Refuse& x) {
-  return sane(x.retry_after_ms) ? nullptr : "a time below 0 or not finite";
-}
 const char* fault(const Orders& x) {
   if (!std::isfinite(x.decided_at_ms) || !sane(x.lines)) return "a time or count that is not finite";
   for (const Order& order : x.orders) {
@@ -129,20 +114,6 @@
   return nullptr;
 }
 
-template <std::size_t K = 0>
-Frame decode(std::size_t kind, base::Decoder& d) {
-  if constexpr (K < std::variant_size_v<Frame>) {
-    if (kind != K) return decode<K + 1>(kind, d);
-    std::variant_alternative_t<K, Frame> frame;
-    d(frame);
-    d.end();
-    if (const char* reason = fault(frame)) d.fail(reason);
-    return frame;
-  } else {
-    d.fail("a frame of kind " + std::to_string(kind + 1) + ", which is unknown");
-  }
-}
-
 bool is_opening(std::size_t kind) {
   return kind == Frame(Hello{}).index() || kind == Frame(PeerHello{}).index();
 }
@@ -167,6 +138,10 @@
   return kNames[frame.index()];
 }
 
+const char* fault(const Refuse& x) {
+  return sane(x.retry_after_ms) ? nullptr : "a time below 0 or not finite";
+}
+
 std::string framed(std::size_t kind, const std::string& payload) {
   base::Encoder head;
   head(static_cast<std::uint32_t>(payload.size()), static_cast<std::uint8_t>(kind));
@@ -210,7 +185,8 @@
   base::Decoder payload(piece->payload);
   try {
     if (is_opening(piece->kind - 1)) check_version(payload, piece->offset);
-    Frame frame = decode(piece->kind - 1, payload);
+    Frame frame = decode_kind<Frame>(piece->kind, payload);
+    if (const char* reason = std::visit([](const auto& f) { return fault(f); }, frame)) payload.fail(reason);
     framing_.take(*piece);
     return frame;
   } catch (const base::DecodeError& error) {
--- a/src/channel/frames.h
+++ b/src/channel/frames.h
@@ -11,6 +11,8 @@
 #include <variant>
 #include <vector>
 
+#include "base/archive.h"
+
 namespace beamshunt::channel {
 
 constexpr std::uint32_t kMagic = 0x42534854;  // "BSHT"
@@ -190,6 +192,35 @@
 
 std::string encode(const Frame& frame);
 
+// The alternative of a frame variant that a kind byte names, read whole. Throws base::DecodeError.
+template <class Variant, std::size_t K = 0>
+Variant decode_kind(std::size_t kind, base::Decoder& d) {
+  if constexpr (K < std::variant_size_v<Variant>) {
+    if (kind != K + 1) return decode_kind<Variant, K + 1>(kind, d);
+    std::variant_alternative_t<K, Variant> frame;
+    d(frame);
+    d.end();
+    return frame;
+  } else {
+    d.fail("a frame of kind " + std::to_string(kind) + ", which is unknown");
+  }
+}
+
+// What every stream here has.
+template <class A>
+void fields(A& a, Refuse& x) {
+  a(x.code, x.retry_after_ms, x.reason);
+}
+template <class A>
+void fields(A& a, Ping& x) {
+  a(x.token);
+}
+template <class A>
+void fields(A& a, Pong& x) {
+  a(x.token);
+}
+const char* fault(const Refuse& x);  // what the types allow and the protocol does not; null: nothing
+
 // Frames from a byte stream, however it is cut. Once all are taken it holds at most one unfinished frame.
 class FrameParser {
  public:
--- a/src/configstream/wire.cpp
+++ b/src/configstream/wire.cpp
@@ -2,8 +2,6 @@
 
 #include <xxhash.h>
 
-#include <cmath>
-
 #include "base/archive.h"
 
 namespace beamshunt::configstream {
@@ -20,18 +18,6 @@
 void fields(A& a, Answer& x) {
   a(x.nonce, x.number, x.verdict, x.in_force, x.reasons);
 }
-template <class A>
-void fields(A& a, Ping& x) {
-  a(x.token);
-}
-template <class A>
-void fields(A& a, Pong& x) {
-  a(x.token);
-}
-template <class A>
-void fields(A& a, Refuse& x) {
-  a(x.code, x.retry_after_ms, x.reason);
-}
 
 namespace {
 
@@ -44,28 +30,12 @@
   return x.part < x.parts ? nullptr : "a part beyond the last";
 }
 const char* fault(const Answer& x) { return x.verdict > Verdict::reverted ? "an unknown verdict" : nullptr; }
-const char* fault(const Refuse& x) {
-  return std::isfinite(x.retry_after_ms) && x.retry_after_ms >= 0 ? nullptr : "a time below 0 or not finite";
-}
+using channel::fault;
 template <typename T>
 const char* fault(const T&) {
   return nullptr;
 }
 
-template <std::size_t K = 0>
-Frame decode(std::size_t kind, base::Decoder& d) {
-  if constexpr (K < std::variant_size_v<Frame>) {
-    if (kind != K + 1) return decode<K + 1>(kind, d);
-    std::variant_alternative_t<K, Frame> frame;
-    d(frame);
-    d.end();
-    if (const char* reason = fault(frame)) d.fail(reason);
-    return frame;
-  } else {
-    d.fail("a frame of an unknown kind");
-  }
-}
-
 }  // namespace
 
 std::uint64_t content_hash(const Resources& resources) {
@@ -90,7 +60,8 @@
   if (!piece) return std::nullopt;
   base::Decoder payload(piece->payload);
   try {
-    Frame frame = decode(piece->kind, payload);
+    Frame frame = channel::decode_kind<Frame>(piece->kind, payload);
+    if (const char* reason = std::visit([](const auto& f) { return fault(f); }, frame)) payload.fail(reason);
     framing_.take(*piece);
     return frame;
   } catch (const base::DecodeError& error) {
--- a/src/configstream/wire.h
+++ b/src/configstream/wire.h
@@ -86,20 +86,9 @@
   std::vector<Reason> reasons;
   bool operator==(const Answer&) const = default;
 };
-struct Ping {
-  std::uint64_t token = 0;
-  bool operator==(const Ping&) const = default;
-};
-struct Pong {
-  std::uint64_t token = 0;
-  bool operator==(const Pong&) const = default;
-};
-struct Refuse {  // either way, the last frame of a stream
-  channel::RefuseCode code{};
-  double retry_after_ms = 0;
-  std::string reason;
-  bool operator==(const Refuse&) const = default;
-};
+using channel::Ping;
+using channel::Pong;
+using channel::Refuse;
 // The kind byte of a frame is its position here, from 1.
 using Frame = std::variant<Subscribe, Delivery, Answer, Ping, Pong, Refuse>;
 
--- a/src/telemetry/figures.cpp
+++ b/src/telemetry/figures.cpp
@@ -97,6 +97,15 @@
       gauge("rule_used_ratio", "How near a rule is to its limit; 1 is the limit", {{"rule", kRules[k]}})
           .Set(f.rules[k]);
     gauge("loop_lag_seconds", "Longest turn of the loop since the last scrape").Set(f.loop_lag_s);
+    gauge("config_version", "Streamed version of the settings in force; 0: the files alone")
+        .Set(f.config_version);
+    gauge("config_streaming", "1 while a control service is connected").Set(f.config_streaming);
+    for (auto& [verdict, answers] : {std::pair{"acked", f.config_acked},
+                                     {"nacked", f.config_nacked},
+                                     {"superseded", f.config_superseded},
+                                     {"reverted", f.config_reverted}})
+      count("config_answers_total", "Streamed versions by what they were answered", answers,
+            {{"verdict", verdict}});
     gauge("remote_write_buffer_bytes", "Bytes in the durable buffer").Set(f.wal_bytes);
     gauge("remote_write_lag_seconds", "Age of the oldest scrape not yet taken by the receiver")
         .Set(f.wal_lag_s);
--- a/src/telemetry/figures.h
+++ b/src/telemetry/figures.h
@@ -38,6 +38,9 @@
   // How near each of the five rules is to its limit by what the assigner knows: 1 is the limit itself.
   std::array<double, 5> rules{};
   double loop_lag_s = 0;  // the longest turn of the loop since the last look
+  // Streamed settings: the number of the version in force, and what versions were answered.
+  double config_version = 0, config_streaming = 0;
+  std::uint64_t config_acked = 0, config_nacked = 0, config_superseded = 0, config_reverted = 0;
   // The pipeline's own health.
   double wal_bytes = 0, wal_lag_s = 0;
   std::uint64_t samples_sent = 0, samples_dropped_old = 0, samples_refused = 0, samples_lost = 0,
