--- a/src/alerts/promql.cpp
+++ b/src/alerts/promql.cpp
@@ -59,8 +59,8 @@
               TAO_PEGTL_STRING("avg"), TAO_PEGTL_STRING("count"), TAO_PEGTL_STRING("quantile")> {};
 struct aggregate
     : seq<aggregator, ws, sor<seq<grouping, ws, must<arguments>>, seq<arguments, ws, opt<grouping>>>> {};
-struct function
-    : keyword<TAO_PEGTL_STRING("rate"), TAO_PEGTL_STRING("increase"), TAO_PEGTL_STRING("absent")> {};
+struct function : keyword<TAO_PEGTL_STRING("rate"), TAO_PEGTL_STRING("increase"),
+                          TAO_PEGTL_STRING("max_over_time"), TAO_PEGTL_STRING("absent")> {};
 struct call : seq<function, ws, must<arguments>> {};
 struct group : if_must<one<'('>, ws, expr, ws, one<')'>> {};
 struct primary : sor<group, aggregate, call, number, selector> {};
@@ -249,6 +249,14 @@
     Vector out;
     for (auto& [labels, samples] : store_.series()) {
       if (!matches(of.selector, labels)) continue;
+      if (e.name == "max_over_time") {
+        std::optional<double> most;
+        for (auto& [t, value] : samples)
+          if (t > at_ - of.range_ms && t <= at_ && !telemetry::is_stale_marker(value))
+            most = std::max(most.value_or(value), value);
+        if (most) out.push_back({kept(labels, [](auto&) { return true; }), *most});
+        continue;
+      }
       if (auto grown = increase(samples, of.range_ms))
         out.push_back({kept(labels, [](auto&) { return true; }),
                        e.name == "rate" ? *grown / (static_cast<double>(of.range_ms) / 1000) : *grown});
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -9,6 +9,7 @@
 #include <ctime>
 #include <filesystem>
 #include <map>
+#include <thread>
 
 #include "alerts/rules.h"
 #include "assigner/config_feed.h"
@@ -16,6 +17,8 @@
 #include "audit/sabotage.h"
 #include "base/file.h"
 #include "day/player.h"
+#include "emulator/emulator.h"
+#include "emulator/swarm.h"
 #include "gate/gate.h"
 #include "measure/measure.h"
 #include "record/record.h"
@@ -269,6 +272,32 @@
   return r.same() ? kWell : kBroken;
 }
 
+namespace {
+
+void print_nearest(const audit::Verdict& verdict) {
+  for (std::size_t k = 0; k < audit::kRules; ++k) {
+    auto rule = static_cast<audit::Rule>(k);
+    fmt::print("rule {} {}: {} (nearest {:.2f} of the limit{}{})\n", k + 1, audit::rule_text(rule),
+               verdict.broke(rule) ? "BROKEN" : "kept", verdict.nearest[k],
+               verdict.nearest_text[k].empty() ? "" : ": ", verdict.nearest_text[k]);
+  }
+}
+// The last line of a day, whatever stage it was played on.
+bool print_kept(const audit::Verdict& verdict) {
+  if (verdict.kept() == audit::kRules) {
+    fmt::print("rules kept: {} of {}\n", verdict.kept(), audit::kRules);
+    return true;
+  }
+  std::string last;
+  for (const audit::Break& b : verdict.breaks)
+    last += fmt::format("{}rule {} at {:.2f} s: {}", last.empty() ? "" : "; ", static_cast<int>(b.rule) + 1,
+                        b.at / 1000, b.what);
+  fmt::print("rules broken: {}\n", last);
+  return false;
+}
+
+}  // namespace
+
 int day(const DayArguments& a) {
   day::Day day = day::load_day(read_sources(a.files));
   if (!a.quiet) fmt::print("day {}: {}\n", day.name, day.about);
@@ -287,12 +316,7 @@
   fmt::print("service {:.3f}; {} tries, {} messages, {} servers fell over; {} flight records replayed\n",
              r.service, r.tries, r.messages, r.fell_over, r.replayed);
   for (const std::string& d : r.differences) fmt::print("flight record differs: {}\n", d);
-  for (std::size_t k = 0; k < audit::kRules; ++k) {
-    auto rule = static_cast<audit::Rule>(k);
-    fmt::print("rule {} {}: {} (nearest {:.2f} of the limit{}{})\n", k + 1, audit::rule_text(rule),
-               r.verdict.broke(rule) ? "BROKEN" : "kept", r.verdict.nearest[k],
-               r.verdict.nearest_text[k].empty() ? "" : ": ", r.verdict.nearest_text[k]);
-  }
+  print_nearest(r.verdict);
   for (const std::string& line : r.refused) fmt::print("refused: {}\n", line);
   bool figures_well = true;
   if (day.receiver) {
@@ -319,16 +343,50 @@
     fmt::print("unconfigured: {}\n", v.unconfigured.empty() ? "never" : "at times");
     versions_well = v.wrong.empty() && v.unconfigured.empty() && v.taken > 0;
   }
-  if (r.verdict.kept() == audit::kRules) {
-    fmt::print("rules kept: {} of {}\n", r.verdict.kept(), audit::kRules);
-    return r.differences.empty() && r.refused.empty() && figures_well && versions_well ? kWell : kBroken;
+  bool kept = print_kept(r.verdict);
+  return kept && r.differences.empty() && r.refused.empty() && figures_well && versions_well ? kWell
+                                                                                             : kBroken;
+}
+
+namespace {
+
+int emulate_swarm(const EmulateArguments& a) {
+  std::size_t threads = a.threads > 0 ? a.threads : std::max(1u, std::thread::hardware_concurrency());
+  emulator::SwarmOptions options{
+      .days = a.swarm, .seed = std::max(1ull, a.seed), .threads = threads, .sabotage = a.sabotage};
+  base::Ms begun = base::monotonic_ms();
+  emulator::SwarmResult r = emulator::swarm(read_sources(a.files), options);
+  double s = (base::monotonic_ms() - begun) / 1000;
+  for (const emulator::Failure& f : r.failures)
+    fmt::print("day {} fails: {}\n// made smaller from {} troubles\n{}", f.seed, f.what, f.troubles_first,
+               f.day_file);
+  fmt::print(
+      "{} days from seed {} in {:.1f} s on {} threads; service {:.3f}, least {:.3f}; fingerprint {:016x}\n",
+      r.days, a.seed, s, threads, r.service, r.worst, r.fingerprint);
+  fmt::print("days that fail: {}\n", r.failures.size());
+  return r.failures.empty() ? kWell : kBroken;
+}
+
+}  // namespace
+
+int emulate(const EmulateArguments& a) {
+  if (a.swarm > 0) return emulate_swarm(a);
+  day::Day day = day::load_day(read_sources(a.files));
+  if (a.seed > 0) day.seed = a.seed;
+  emulator::EmulateOptions options{.sabotage = a.sabotage, .replay = a.replay, .say = {}};
+  if (!a.quiet) {
+    fmt::print("day {}: {}\n", day.name, day.about);
+    options.say = [](const std::string& line) { fmt::print("{}\n", line); };
   }
-  std::string last;
-  for (const audit::Break& b : r.verdict.breaks)
-    last += fmt::format("{}rule {} at {:.2f} s: {}", last.empty() ? "" : "; ", static_cast<int>(b.rule) + 1,
-                        b.at / 1000, b.what);
-  fmt::print("rules broken: {}\n", last);
-  return kBroken;
+  base::Ms begun = base::monotonic_ms();
+  emulator::Emulated r = emulator::emulate(day, options);
+  fmt::print(
+      "service {:.3f}; {} asked, {} tries, {} messages, {} servers fell over; {} events in {:.0f} ms\n",
+      r.service, r.asked, r.tries, r.messages, r.fell_over, r.events, base::monotonic_ms() - begun);
+  for (const std::string& d : r.differences) fmt::print("flight record differs: {}\n", d);
+  for (const std::string& line : r.refused) fmt::print("refused: {}\n", line);
+  print_nearest(r.verdict);
+  return print_kept(r.verdict) && r.differences.empty() && r.refused.empty() ? kWell : kBroken;
 }
 
 int alerts_check(const std::vector<std::string>& files) {
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -33,6 +33,15 @@
 };
 int day(const DayArguments& arguments);
 
+struct EmulateArguments {
+  std::vector<std::string> files;
+  std::string sabotage;
+  bool quiet = false, replay = false;
+  std::size_t swarm = 0, threads = 0;  // threads 0: as many as the machine has
+  unsigned long long seed = 0;         // of a day or the first of a swarm; 0: the day's own, or 1
+};
+int emulate(const EmulateArguments& arguments);
+
 int alerts_check(const std::vector<std::string>& files);
 int alerts_test(const std::vector<std::string>& files);
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -89,6 +89,20 @@
   day_command->footer("Example: beamshunt day days/bad-day.cue --sabotage drain");
   day_command->callback([&] { result = day(day_arguments); });
 
+  EmulateArguments e;
+  auto* emulate_command =
+      app.add_subcommand("emulate", "play a scripted day in simulated time, the same code deciding");
+  emulate_command->add_option("files", e.files, "the day, one file or several that unify")->required();
+  emulate_command->add_option("--sabotage", e.sabotage, "break a rule on purpose; the audit must see it")
+      ->check(CLI::IsMember({"drain", "twice", "cold", "queue", "empty"}));
+  emulate_command->add_flag("--replay", e.replay, "play the flight records again");
+  emulate_command->add_flag("--quiet", e.quiet, "only the result");
+  emulate_command->add_option("--swarm", e.swarm, "draw so many days on the stage that the files give");
+  emulate_command->add_option("--seed", e.seed, "of the day, or of the first of a swarm");
+  emulate_command->add_option("--threads", e.threads, "days side by side; all cores if not given");
+  emulate_command->footer("Example: beamshunt emulate days/stage.cue days/bad-day.cue");
+  emulate_command->callback([&] { result = emulate(e); });
+
   auto* alerts = app.add_subcommand("alerts", "alert rules, without a server for them");
   alerts->require_subcommand(1);
   auto* alerts_check_command = alerts->add_subcommand("check", "hold rules against what the program exports");
--- a/src/day/day.cpp
+++ b/src/day/day.cpp
@@ -129,7 +129,7 @@
     assigner::Site site;  // as an assigner will read it
     assigner::read_site(day_.site, site);
     day_.policy = site.policy;
-    class_names_ = site.class_names;
+    class_names_ = day_.class_names = site.class_names;
   }
 
   void read_fleet() {
--- a/src/day/day.h
+++ b/src/day/day.h
@@ -57,6 +57,7 @@
   audit::Limits limits;
   config::Tree site;  // for the assigners' own settings
   Settings policy;    // as an assigner will read it
+  std::vector<std::string> class_names;
 };
 
 const config::Source& schema();  // "#Day" its root
--- a/tests/alerts/alerts_test.cpp
+++ b/tests/alerts/alerts_test.cpp
@@ -47,6 +47,8 @@
   EXPECT_NEAR(run("rate(reqs{zone=\"y\"}[1m])").begin()->second, 3, 1e-9);
   EXPECT_NEAR(run("increase(reqs{job=\"b\"}[10m])").begin()->second, 590, 12);
   EXPECT_EQ(run("rate(reqs{zone=\"y\"}[5s])").size(), 0u);
+  EXPECT_EQ(run("max_over_time(reqs{zone=\"y\"}[1m])").begin()->second,
+            run("reqs{zone=\"y\"}").begin()->second);
 }
 
 TEST(PromQl, Aggregates) {
--- /dev/null
+++ b/tests/emulator/emulator_test.cpp
@@ -0,0 +1,142 @@
+#include "emulator/emulator.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <random>
+
+#include "base/file.h"
+#include "emulator/engine.h"
+#include "emulator/swarm.h"
+#include "standin/server_model.h"
+
+namespace beamshunt::emulator {
+namespace {
+
+config::Source source(const std::string& file) { return {file, base::read_file(file).value()}; }
+const config::Source& stage() {
+  static const config::Source kStage = source("days/stage.cue");
+  return kStage;
+}
+
+TEST(Engine, CallsInTheOrderOfTimesThenOfCallsAndNeverEarly) {
+  Engine engine(1000);
+  std::vector<int> order;
+  engine.at(1002, [&] { order.push_back(3); });
+  engine.at(1001, [&] { order.push_back(1); });
+  engine.at(1001, [&] { order.push_back(2); });
+  engine.at(5, [&] { order.push_back(0); });
+  engine.run(1001);
+  EXPECT_EQ(order, (std::vector<int>{0, 1, 2}));
+  for (int k = 0; k < 100000; ++k) {
+    Ms due = 1002 + k * 0.0123456789;
+    engine.at(due, [&engine, due] { ASSERT_GE(engine.now(), due); });
+  }
+  engine.run(3000);
+}
+
+TEST(Engine, AnEventThatAsksForItselfIsAnErrorAndNoEndlessLoop) {
+  Engine engine(0);
+  std::function<void()> again = [&] { engine.after(0, again); };
+  again();
+  EXPECT_THROW(engine.run(1), std::runtime_error);
+}
+
+TEST(Emulator, DaysOfTheSocketStageKeepTheirRulesAndReplay) {
+  for (const char* name :
+       {"quiet", "bad-day", "deploy", "zone-cut", "zone-loss", "flapping", "balancer-crash"}) {
+    day::Day day = day::load_day({stage(), source(fmt::format("days/{}.cue", name))});
+    Emulated e = emulate(day, {.sabotage = "", .replay = true, .say = {}});
+    EXPECT_TRUE(e.verdict.breaks.empty()) << name << ": " << e.verdict.breaks[0].what;
+    EXPECT_TRUE(e.differences.empty()) << name;
+    EXPECT_TRUE(e.refused.empty()) << name;
+    EXPECT_GT(e.service, 0.85) << name;
+    EXPECT_GT(e.asked, 1000u) << name;
+  }
+}
+
+TEST(Emulator, ItsAuditSeesEachRuleBrokenOnPurpose) {
+  using audit::Rule;
+  struct Case {
+    const char* sabotage;
+    const char* day;
+    Rule rule;
+  };
+  for (const Case& c : {Case{"empty", "quiet", Rule::empty}, Case{"twice", "fast-errors", Rule::twice},
+                        Case{"drain", "deploy", Rule::drain}, Case{"cold", "deploy", Rule::cold},
+                        Case{"queue", "quiet", Rule::queue}}) {
+    std::vector<config::Source> files{stage(), source(fmt::format("days/{}.cue", c.day))};
+    if (c.rule == Rule::cold) files.push_back(source("tests/day/busy.cue"));
+    Emulated e = emulate(day::load_day(files), {.sabotage = c.sabotage, .replay = false, .say = {}});
+    EXPECT_TRUE(e.verdict.broke(c.rule)) << c.sabotage;
+  }
+}
+
+TEST(Swarm, TwoHundredDaysKeepTheRulesAndAreTheSameOnAnyNumberOfThreads) {
+  SwarmResult one = swarm({stage()}, {.days = 200, .seed = 1, .threads = 1});
+  SwarmResult four = swarm({stage()}, {.days = 200, .seed = 1, .threads = 4});
+  EXPECT_EQ(one.fingerprint, four.fingerprint);
+  EXPECT_EQ(one.service, four.service);
+  EXPECT_NE(one.fingerprint, swarm({stage()}, {.days = 200, .seed = 2, .threads = 4}).fingerprint);
+  for (const Failure& f : one.failures) ADD_FAILURE() << f.what << "\n" << f.day_file;
+}
+
+TEST(Swarm, FindsWhatIsBrokenOnPurposeAndMakesTheDaySmall) {
+  SwarmResult r = swarm({stage()}, {.days = 20, .seed = 5, .threads = 4, .sabotage = "drain"});
+  ASSERT_FALSE(r.failures.empty());
+  const Failure& f = r.failures.front();
+  EXPECT_NE(f.what.find("rule 3"), std::string::npos) << f.what;
+  day::Day small = day::load_day({stage(), {"small.cue", f.day_file}});
+  small.seed = f.seed;
+  EXPECT_LE(small.troubles.size(), f.troubles_first);
+  EXPECT_TRUE(
+      emulate(small, {.sabotage = "drain", .replay = false, .say = {}}).verdict.broke(audit::Rule::drain))
+      << f.day_file;
+  EXPECT_TRUE(emulate(small, {}).verdict.breaks.empty()) << "it was the sabotage";
+}
+
+// Poisson arrivals, exponential work, c cores: the mean wait that Erlang's formula gives.
+TEST(Calibration, TheServerModelWaitsAsMMcDoes) {
+  for (auto [cores, load] : {std::pair{1, 0.5}, {1, 0.8}, {2, 0.7}, {4, 0.8}}) {
+    constexpr double kWork = 10;
+    standin::ServerModel model({.id = 1, .cores = cores, .speed = 1, .most_queued = 100000},
+                               std::make_shared<standin::Pod>(), 0, 1);
+    pcg32 random(7);
+    double rate = load * cores / kWork, t = 0, sum = 0, area = 0;
+    std::map<std::uint64_t, std::pair<double, double>> out;
+    std::size_t done = 0;
+    model.start(0, false);
+    constexpr std::uint64_t kJobs = 300000;
+    auto take = [&](double until) {
+      while (model.next_due() <= until) {
+        double at = model.next_due();
+        for (auto& f : model.advance(at)) {
+          sum += at - out[f.token].first - out[f.token].second;
+          area += at - out[f.token].first;
+          out.erase(f.token);
+          ++done;
+        }
+      }
+    };
+    for (std::uint64_t k = 1; k <= kJobs; ++k) {
+      t += std::exponential_distribution<double>(rate)(random);
+      take(t);
+      double work = std::exponential_distribution<double>(1 / kWork)(random);
+      out[k] = {t, work};
+      model.arrive(t, {.token = k, .request = k, .request_class = 0, .key = "", .work_ms = work});
+    }
+    take(1e18);
+    ASSERT_EQ(done, kJobs) << "work is conserved";
+    double a = rate * kWork, term = 1, below = 0;
+    for (int k = 0; k < cores; ++k) below += term, term *= a / (k + 1);
+    double waits = term / (1 - load) / (below + term / (1 - load));
+    double theory = waits * kWork / (cores * (1 - load));
+    EXPECT_NEAR(sum / static_cast<double>(done), theory, 0.06 * theory) << cores << " cores at " << load;
+    // Little: what is inside on average is the arrival rate times the time inside.
+    EXPECT_NEAR(area / t, rate * (theory + kWork), 0.06 * rate * (theory + kWork));
+  }
+}
+
+}  // namespace
+}  // namespace beamshunt::emulator
