--- a/src/alerts/promql.h
+++ b/src/alerts/promql.h
@@ -53,8 +53,8 @@
 struct Expr;
 class Query {
  public:
-  // Numbers, selectors with ranges, rate, increase, max_over_time, absent, sum/min/max/avg/count/quantile by and without,
-  // + - * /, comparisons (with bool), and/or/unless, on and ignoring. Throws QueryError.
+  // Numbers, selectors with ranges, rate, increase, max_over_time, absent, sum/min/max/avg/count/quantile by
+  // and without, + - * /, comparisons (with bool), and/or/unless, on and ignoring. Throws QueryError.
   explicit Query(const std::string& text);
   Vector evaluate(const Store& store, std::int64_t at_ms) const;
   std::vector<Selector> selectors() const;
--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -1,6 +1,6 @@
-// A day in simulated time: the assigners' own core and module, the stand-ins' own models of servers and proxies,
-// and everything between them (links, lists, clients, processes) as the socket stage has it. Only time and
-// bytes are simulated. Pure: the same day and seed give the same taps, on any number of threads.
+// A day in simulated time: the assigners' own core and module, the stand-ins' own models of servers and
+// proxies, and everything between them (links, lists, clients, processes) as the socket stage has it. Only
+// time and bytes are simulated. Pure: the same day and seed give the same taps, on any number of threads.
 #pragma once
 
 #include <functional>
--- a/src/emulator/engine.h
+++ b/src/emulator/engine.h
@@ -54,8 +54,8 @@
   static bool later(const Event& a, const Event& b) {
     return a.at != b.at ? a.at > b.at : a.number > b.number;
   }
-  // Up: what is due at an instant must not be looked for before it, not even by a rounding: whoever asks again
-  // because it is not due yet would do so for ever.
+  // Up: what is due at an instant must not be looked for before it, not even by a rounding: whoever asks
+  // again because it is not due yet would do so for ever.
   static Micros to_micros(Ms ms) {
     auto micros = static_cast<Micros>(std::ceil(ms * 1000));
     return static_cast<Ms>(micros) / 1000 < ms ? micros + 1 : micros;
--- a/src/emulator/swarm.h
+++ b/src/emulator/swarm.h
@@ -1,5 +1,5 @@
-// Many days drawn by seed, each with troubles of its own, played in simulated time and judged by the five rules;
-// a day that fails is made smaller until nothing can be left out, and given back as a day file.
+// Many days drawn by seed, each with troubles of its own, played in simulated time and judged by the five
+// rules; a day that fails is made smaller until nothing can be left out, and given back as a day file.
 #pragma once
 
 #include <cstdint>
