Read-through: one list writer, one standing table, one set of limits; a swarm reads once

Each has one place now.
Troubles are drawn as what they are and written only for people.
- A version that waits for room copied the whole fleet every 20 ms on the loop; the check is made at the instant that it guards.
Dead members and parameters are gone. emulate says the seed it used.

--- a/src/assigner/config_feed.cpp
+++ b/src/assigner/config_feed.cpp
@@ -268,15 +268,11 @@
 // A fresh module must be able to bind every proxy at once: until it is, the version waits before it is acked.
 void ConfigFeed::let_through(std::uint64_t ticket, std::shared_ptr<const Site> site, std::uint64_t hash,
                              Ms limit) {
-  // The fleet may have changed since the gate looked; this much must hold at the instant itself.
-  auto reasons = unapplicable(host_.site(), *site, host_.fleet());
-  if (!reasons.empty()) {
-    client_.checked(ticket, std::move(reasons), reactor_.now());
-    return soon();
-  }
   if (!to_apply_ && host_.may_apply(*site)) {
-    passed_ = Passed{hash, std::move(site)};
-    client_.checked(ticket, {}, reactor_.now());
+    // The fleet may have changed since the gate looked; this much must hold at the instant itself.
+    auto reasons = unapplicable(host_.site(), *site, host_.fleet());
+    if (reasons.empty()) passed_ = Passed{hash, std::move(site)};
+    client_.checked(ticket, std::move(reasons), reactor_.now());
     return soon();
   }
   if (client_.give_way(ticket, reactor_.now())) return soon();
@@ -441,15 +437,11 @@
       on_trial_ = false;
       last_good_ = *found;
       soon();
-      keep_record({.kind = Record::Kind::rolled_back,
-                   .number = before.number,
-                   .hash = before.hash,
-                   .to_number = found->number,
-                   .to_hash = found->hash,
-                   .cause = "by a person"},
-                  {});
-      keep_record({.kind = Record::Kind::confirmed, .number = found->number, .hash = found->hash}, {});
-      keep_record({.kind = Record::Kind::pinned, .number = found->number, .hash = found->hash}, done);
+      std::vector<Record> records = configstream::rollback(before, *found);
+      for (Record& r : records) {
+        r.cause = "by a person";
+        keep_record(r, r.kind == records.back().kind ? done : Done());
+      }
     });
   });
   if (!taken) done("the disk is behind");
@@ -471,14 +463,12 @@
 
 void ConfigFeed::forgive(std::uint64_t number, Done done) {
   bool taken = disk_.post(1024, [this, alive = alive_, store = store_, number, done] {
-    std::uint64_t hash = 0;
-    for (const Record& r : store->ledger().records())
-      if (r.kind == Record::Kind::reverted && r.number == number) hash = r.hash;
+    std::optional<std::uint64_t> hash = store->ledger().hash_gone_back(number);
     reactor_.post([this, alive, number, hash, done] {
       if (!*alive) return;
-      if (hash == 0) return done(fmt::format("version {} never went back", number));
-      client_.forgive(hash);
-      keep_record({.kind = Record::Kind::forgiven, .number = number, .hash = hash}, done);
+      if (!hash) return done(fmt::format("version {} never went back", number));
+      client_.forgive(*hash);
+      keep_record({.kind = Record::Kind::forgiven, .number = number, .hash = *hash}, done);
     });
   });
   if (!taken) done("the disk is behind");
--- a/src/assigner/core.cpp
+++ b/src/assigner/core.cpp
@@ -566,7 +566,7 @@
 }
 
 // A module that orders no proxy any more has been taken over.
-void Core::retire(Ms) {
+void Core::retire() {
   if (modules_.size() == 1) return;
   std::set<std::uint32_t> owners{modules_.rbegin()->first};
   for (auto& [proxy, id] : proxies_) owners.insert(streams_.at(id).owner);
@@ -633,7 +633,7 @@
         ProxyJoined{proxy, Locality{site_.locality_of.find(s.address.ip).value_or(0)}, s.usual, false});
   }
   sharing_ = true;
-  retire(now);
+  retire();
 }
 
 Fleet Core::fleet(Ms now) const {
@@ -666,7 +666,7 @@
   }
   if (sharing_) share_channel();
   for (auto& [number, module] : modules_) run(number, module, now);
-  retire(now);
+  retire();
   release_messages(now);
 }
 
--- a/src/assigner/core.h
+++ b/src/assigner/core.h
@@ -197,7 +197,7 @@
   void tell(const Event& event);  // every module
   void share_channel();
   void run(std::uint32_t number, Module& module, Ms now);
-  void retire(Ms now);
+  void retire();
   void act(Ms now, std::uint32_t number, Module& module, const std::vector<Action>& actions);
   void write(std::uint32_t module, ProxyId proxy, channel::Order order);
   void write_users(std::uint32_t module, const Table& table, const channel::Order& order);
--- a/src/audit/rules.cpp
+++ b/src/audit/rules.cpp
@@ -311,6 +311,20 @@
 
 }  // namespace
 
+Limits limits_of(const Settings& p) {
+  return {.classes = p.classes,
+          .empty_for = p.empty_for.count(),
+          .drain_grace = p.drain_grace.count(),
+          .warm_up = p.warm_up.count(),
+          .fall = p.fall.count(),
+          .messages_span = p.pushes_span.count(),
+          .start_capacity = p.start_capacity,
+          .tip_multiple = p.tip_multiple,
+          .most_waiting_lines = p.most_waiting_lines,
+          .messages_allowed = p.pushes_allowed,
+          .gone_is_advice = p.gone_is_advice};
+}
+
 const char* rule_text(Rule rule) {
   constexpr const char* kTexts[] = {"nobody left without a server", "no effect twice", "drains kept",
                                     "no cold server pushed over", "a short queue"};
--- a/src/audit/rules.h
+++ b/src/audit/rules.h
@@ -22,6 +22,9 @@
   double capacity_slack = 1;  // on the work that a cold server may be sent: chance
 };
 
+// What a site's settings promise; without a margin.
+Limits limits_of(const Settings& policy);
+
 enum class Rule { empty, twice, drain, cold, queue };
 constexpr std::size_t kRules = 5;
 const char* rule_text(Rule rule);
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -42,6 +42,13 @@
   return out;
 }
 
+// A resource as arguments give it.
+std::pair<std::string, std::string> type_and_file(const std::string& text) {
+  std::size_t mark = text.find('=');
+  if (mark == text.npos) throw std::runtime_error("'" + text + "' is not type=file");
+  return {text.substr(0, mark), text.substr(mark + 1)};
+}
+
 std::string own_program() { return std::filesystem::read_symlink("/proc/self/exe").string(); }
 
 struct Kind {
@@ -205,32 +212,22 @@
 }
 
 int config_rollback(const VersionArguments& a) {
-  return change_versions(a, fmt::format("/v1/config/rollback?version={}", a.to),
-                         [&](const configstream::Ledger& ledger) {
-                           using Kind = configstream::Record::Kind;
-                           const configstream::Version& to = known(ledger, a.to);
-                           const configstream::Version* now = ledger.in_force();
-                           return std::vector<configstream::Record>{
-                               {.kind = Kind::rolled_back,
-                                .number = now ? now->number : 0,
-                                .hash = now ? now->hash : 0,
-                                .to_number = to.number,
-                                .to_hash = to.hash},
-                               {.kind = Kind::confirmed, .number = to.number, .hash = to.hash},
-                               {.kind = Kind::pinned, .number = to.number, .hash = to.hash}};
-                         });
+  return change_versions(
+      a, fmt::format("/v1/config/rollback?version={}", a.to), [&](const configstream::Ledger& ledger) {
+        const configstream::Version* now = ledger.in_force();
+        return configstream::rollback(now ? *now : configstream::Version{}, known(ledger, a.to));
+      });
 }
 
 int config_forgive(const VersionArguments& a) {
-  return change_versions(
-      a, fmt::format("/v1/config/forgive?version={}", a.to), [&](const configstream::Ledger& ledger) {
-        std::vector<configstream::Record> out;
-        for (const configstream::Record& r : ledger.records())
-          if (r.kind == configstream::Record::Kind::reverted && r.number == a.to)
-            out = {{.kind = configstream::Record::Kind::forgiven, .number = a.to, .hash = r.hash}};
-        if (out.empty()) throw std::runtime_error(fmt::format("version {} never went back", a.to));
-        return out;
-      });
+  return change_versions(a, fmt::format("/v1/config/forgive?version={}", a.to),
+                         [&](const configstream::Ledger& ledger) {
+                           auto hash = ledger.hash_gone_back(a.to);
+                           if (!hash)
+                             throw std::runtime_error(fmt::format("version {} never went back", a.to));
+                           return std::vector<configstream::Record>{
+                               {.kind = configstream::Record::Kind::forgiven, .number = a.to, .hash = *hash}};
+                         });
 }
 
 int config_pin(const VersionArguments& a, bool pinned) {
@@ -247,9 +244,8 @@
 int config_gate(const VersionArguments& a, const std::vector<std::string>& given) {
   configstream::Resources resources;
   for (const std::string& text : given) {
-    std::size_t mark = text.find('=');
-    if (mark == text.npos) throw std::runtime_error("'" + text + "' is not type=file");
-    resources[{text.substr(0, mark), text.substr(mark + 1)}] = {1, read_source(text.substr(mark + 1)).text};
+    auto [type, file] = type_and_file(text);
+    resources[{type, file}] = {1, read_source(file).text};
   }
   std::vector<config::Source> files = read_sources(a.files);
   assigner::Site now = assigner::load_site(files);
@@ -362,7 +358,7 @@
                f.day_file);
   fmt::print(
       "{} days from seed {} in {:.1f} s on {} threads; service {:.3f}, least {:.3f}; fingerprint {:016x}\n",
-      r.days, a.seed, s, threads, r.service, r.worst, r.fingerprint);
+      r.days, options.seed, s, threads, r.service, r.worst, r.fingerprint);
   fmt::print("days that fail: {}\n", r.failures.size());
   return r.failures.empty() ? kWell : kBroken;
 }
@@ -474,9 +470,8 @@
   standin::ControlService service(world, address(a.address, "--address"), a.origin);
   std::vector<std::map<configstream::Key, std::string>> versions;
   for (const std::string& offer : a.offers) {
-    std::size_t mark = offer.find('=');
-    if (mark == offer.npos) throw std::runtime_error("--offer '" + offer + "' is not type=file");
-    versions.push_back({{{offer.substr(0, mark), "site"}, read_source(offer.substr(mark + 1)).text}});
+    auto [type, file] = type_and_file(offer);
+    versions.push_back({{{type, "site"}, read_source(file).text}});
   }
   std::size_t told = 0, printed = 0;
   base::Ms next = 0;
--- a/src/configstream/store.cpp
+++ b/src/configstream/store.cpp
@@ -188,6 +188,23 @@
   return nullptr;
 }
 
+std::optional<std::uint64_t> Ledger::hash_gone_back(std::uint64_t number) const {
+  for (auto r = records_.rbegin(); r != records_.rend(); ++r)
+    if (r->kind == Record::Kind::reverted && r->number == number) return r->hash;
+  return std::nullopt;
+}
+
+std::vector<Record> rollback(const Version& from, const Version& to) {
+  using Kind = Record::Kind;
+  return {{.kind = Kind::rolled_back,
+           .number = from.number,
+           .hash = from.hash,
+           .to_number = to.number,
+           .to_hash = to.hash},
+          {.kind = Kind::confirmed, .number = to.number, .hash = to.hash},
+          {.kind = Kind::pinned, .number = to.number, .hash = to.hash}};
+}
+
 const Version* Ledger::to_start(const Version** abandoned) const {
   *abandoned = nullptr;
   const Version* now = in_force();
--- a/src/configstream/store.h
+++ b/src/configstream/store.h
@@ -54,6 +54,7 @@
   // The content of a number; of several with one number the one that was taken last.
   const Version* version(std::uint64_t number) const;
   std::uint64_t newest() const { return newest_; }
+  std::optional<std::uint64_t> hash_gone_back(std::uint64_t number) const;  // of the content last taken by it
   // Hashes of what went back, each with the evidence.
   const std::map<std::uint64_t, std::string>& broken() const { return broken_; }
   std::optional<std::uint64_t> pinned() const { return pinned_; }
@@ -73,6 +74,9 @@
   std::optional<std::uint64_t> pinned_;
 };
 
+// A person's choice of `to` while `from` is in force, as records: it runs, is good, and stays until unpinned.
+std::vector<Record> rollback(const Version& from, const Version& to);
+
 // What a store does to its folder. All throw std::runtime_error naming the file and the cause.
 class Disk {
  public:
--- a/src/day/script.cpp
+++ b/src/day/script.cpp
@@ -46,6 +46,28 @@
           .seed = day.seed * 100 + number};
 }
 
+Ms longest_window(const Day& day) {
+  Ms window = 0;
+  for (const RequestClass& c : day.policy.classes) window = std::max(window, c.dedup_window.count());
+  return window;
+}
+
+std::vector<Place> standing_table(const Day& day, std::uint32_t locality, const std::vector<Listing>& shown,
+                                  pcg32& random) {
+  constexpr std::size_t kEnough = 3;
+  std::vector<Place> local, all;
+  for (const Listing& l : shown) {
+    if (l.state != ListTold::State::in_service) continue;
+    Place p{l.id, static_cast<std::uint16_t>(l.locality), l.cell, l.address};
+    all.push_back(p);
+    if (l.locality == locality) local.push_back(p);
+  }
+  std::vector<Place>& from = local.size() >= kEnough ? local : all;
+  std::shuffle(from.begin(), from.end(), random);
+  from.resize(std::min(from.size(), day.standing));
+  return from;
+}
+
 void Script::begin() {
   for (const Trouble& t : day_.troubles) stage_.after(t.at, [this, &t] { strike(t); });
 }
--- a/src/day/script.h
+++ b/src/day/script.h
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "day/day.h"
+#include "standin/list.h"
+#include "standin/proxy_model.h"
 #include "standin/server_model.h"
 #include "standin/world.h"
 
@@ -57,6 +59,12 @@
 standin::ServerSpec server_spec(const Day& day, const ServerGroup& group, std::uint32_t number);
 standin::ProxySpec proxy_spec(const Day& day, std::uint32_t locality, std::uint32_t number);
 
+// How long a server of the day remembers keys.
+Ms longest_window(const Day& day);
+// What a proxy stands on as it starts: some of the open servers, of its own locality if there are enough.
+std::vector<standin::Place> standing_table(const Day& day, std::uint32_t locality,
+                                           const std::vector<standin::Listing>& shown, pcg32& random);
+
 class Script {
  public:
   Script(Stage& stage, const Day& day, pcg32& random) : stage_(stage), day_(day), random_(random) {}
--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -17,6 +17,7 @@
 #include "day/script.h"
 #include "emulator/engine.h"
 #include "record/record.h"
+#include "standin/list.h"
 #include "standin/proxy_model.h"
 #include "standin/server_model.h"
 
@@ -37,6 +38,7 @@
 constexpr Ms kLittleTime = 20;     // of the deadline left: no further try is worth it
 constexpr std::uint32_t kFailuresToMove = 2;
 constexpr Ms kListAnswer = 1;
+constexpr std::size_t kMostForgotten = 256;  // requests of a proxy that have ended, before they are let go
 
 enum class Reply { good, error, refused, reset, unreachable };
 
@@ -87,7 +89,6 @@
     std::unique_ptr<ServerModel> model;
     std::uint32_t id = 0, locality = 0, cell = 0;
     double size = 1;
-    ListTold::State state = ListTold::State::in_service;
     Ms started = 0;  // 0: long past
     bool process = false, silent = false, fall_told = false;
     struct Waiting {
@@ -151,9 +152,6 @@
 
   std::size_t localities() const { return day_.policy.localities.size(); }
   void note(Seen seen) { taps_.note(engine_.now(), std::move(seen)); }
-  net::Address address(std::uint32_t z, std::uint32_t kind, std::uint32_t number, std::uint16_t port) const {
-    return {127u << 24 | (16 + z) << 16 | kind << 8 | number, port};
-  }
   double wall() const { return kWall + engine_.now() - kStart; }
   bool all_joined() const {
     return !proxies_.empty() &&
@@ -188,9 +186,14 @@
   void drain_server(std::size_t k) override { servers_[k].model->drain(); }
   void list(std::size_t k, ListTold::State state, Ms delay) override {
     ServerRun& s = servers_[k];
-    s.state = state;
-    Listing l{s.id,      s.locality, s.cell, s.size, state, s.started > 0 ? kWall + s.started - kStart : 0,
-              s.started, s.address};
+    Listing l{.id = s.id,
+              .locality = s.locality,
+              .cell = s.cell,
+              .size = s.size,
+              .state = state,
+              .started_wall_ms = s.started > 0 ? kWall + s.started - kStart : 0,
+              .started = s.started,
+              .address = s.address};
     Ms& at = list_at_[s.id];  // a server's changes come in the order they were made
     at = std::max(at, engine_.now() + delay + list_stale_);
     engine_.at(at, [this, l] { show(l); });
@@ -233,24 +236,14 @@
   void services(const day::Trouble& t) override { say(t.kind + " is for sockets: left out"); }
 
   // ---- Servers ----
-  struct Listing {
-    std::uint32_t id = 0, locality = 0, cell = 0;
-    double size = 1;
-    ListTold::State state{};
-    double started_wall = 0;
-    Ms started = 0;
-    net::Address address{};
-  };
   void add_server(const day::ServerGroup& group, bool cold) {
     auto number = static_cast<std::uint32_t>(servers_.size());
     ServerSpec spec = day::server_spec(day_, group, number);
-    Ms window = 0;
-    for (const RequestClass& c : day_.policy.classes) window = std::max(window, c.dedup_window.count());
     auto& pod = pods_[{spec.locality, spec.cell}];
     if (!pod) pod = std::make_shared<Pod>();
     servers_.emplace_back();
     ServerRun& s = servers_.back();
-    s.model = std::make_unique<ServerModel>(spec, pod, window, day_.seed * 1000 + number);
+    s.model = std::make_unique<ServerModel>(spec, pod, day::longest_window(day_), day_.seed * 1000 + number);
     s.id = spec.id, s.locality = spec.locality, s.cell = spec.cell, s.size = spec.listed_size();
     s.address = {(127u << 24 | (16 + group.locality) << 16) + 512 + number, 8000};
     by_id_[s.id] = servers_.size() - 1;
@@ -341,23 +334,10 @@
   }
 
   // ---- The list ----
-  std::string list_line(bool total, const std::vector<Listing>& entries) const {
-    constexpr const char* kStates[] = {"in_service", "terminating", "terminated"};
-    std::string out;
-    for (const Listing& l : entries) {
-      if (total && l.state == ListTold::State::gone) continue;
-      out +=
-          fmt::format(R"({}{{"id":{},"locality":"{}","cell":{},"size":{},"state":"{}","started_ms":{},)"
-                      R"("address":"{}"}})",
-                      out.empty() ? "" : ",", l.id, day_.policy.localities[l.locality], l.cell, l.size,
-                      kStates[static_cast<std::size_t>(l.state)], l.started_wall, net::to_string(l.address));
-    }
-    return fmt::format(R"({{"kind":"{}","version":{},"entries":[{}]}})", total ? "total" : "changes",
-                       list_version_, out);
-  }
   void tell(AssignerRun& a, const std::vector<Listing>& entries, bool total) {
     for (const Listing& l : entries) note(ListTold{a.instance, l.id, l.locality, l.state, l.started});
-    a.core->list_line(list_line(total, entries), engine_.now(), wall());
+    a.core->list_line(standin::list_json(total, list_version_, entries, day_.policy.localities),
+                      engine_.now(), wall());
     soon(a);
   }
   void show(const Listing& l) {
@@ -374,9 +354,12 @@
       return soon(a);
     }
     if (watch) a.watching = true;
+    tell(a, shown(), true);
+  }
+  std::vector<Listing> shown() const {
     std::vector<Listing> all;
     for (auto& [id, l] : shown_) all.push_back(l);
-    tell(a, all, true);
+    return all;
   }
 
   // ---- Assigners ----
@@ -485,7 +468,7 @@
   void start_proxy(std::size_t k) override {
     ProxyRun& p = proxies_[k];
     ProxySpec spec = day::proxy_spec(day_, p.locality, p.number);
-    spec.standing = standing_table(p.locality);
+    spec.standing = day::standing_table(day_, p.locality, shown(), random_);
     ProxyStanding standing{p.number, p.locality, {}};
     for (const Place& place : spec.standing) standing.endpoints.push_back(place.endpoint);
     p.model = std::make_unique<ProxyModel>(std::move(spec));
@@ -504,19 +487,6 @@
     beat(k, p.life);
     report(k, p.life);
   }
-  std::vector<Place> standing_table(std::uint32_t locality) {
-    std::vector<Place> local, all;
-    for (auto& [id, l] : shown_) {
-      if (l.state != ListTold::State::in_service) continue;
-      Place place{l.id, static_cast<std::uint16_t>(l.locality), l.cell, l.address};
-      all.push_back(place);
-      if (l.locality == locality) local.push_back(place);
-    }
-    std::vector<Place>& from = local.size() >= 3 ? local : all;
-    std::shuffle(from.begin(), from.end(), random_);
-    from.resize(std::min(from.size(), day_.standing));
-    return from;
-  }
   AssignerRun& chosen(const ProxyRun& p) { return assigners_.at(p.assigners[p.choice]); }
   Links::Way way(std::size_t k) { return links_.at(proxies_[k].locality, chosen(proxies_[k]).locality); }
 
@@ -672,8 +642,7 @@
     p.model->came(r->c);
     if (!p.model->admit(engine_.now(), r->c)) return reply(r, Reply::refused);
     auto& out = at_proxy_[k];
-    if (out.size() > 64 && out.size() > 4 * out_at_proxy_)
-      std::erase_if(out, [](auto& w) { return w.expired(); });
+    if (out.size() > kMostForgotten) std::erase_if(out, [](auto& w) { return w.expired(); });
     out.push_back(r);
     try_next(r, true);
   }
@@ -705,16 +674,14 @@
     note(TrySent{p.number, place->endpoint, r->request, number, r->c, r->work});
     auto settled = std::make_shared<bool>(false);
     auto ended = [this, r, settled, endpoint = place->endpoint, now](
-                     Reply how, const std::map<std::string, double>& load, bool in_time) {
-      if (std::exchange(*settled, true)) return;
-      tried(r, endpoint, now, how, load, in_time);
+                     Reply how, const std::map<std::string, double>& load) {
+      if (!std::exchange(*settled, true)) tried(r, endpoint, now, how, load);
     };
-    ask_server(p.locality, place->endpoint, *r, number,
-               [ended](Reply how, std::map<std::string, double> load) { ended(how, load, true); });
-    engine_.after(wait, [ended] { ended(Reply::reset, {}, false); });
+    ask_server(p.locality, place->endpoint, *r, number, ended);
+    engine_.after(wait, [ended] { ended(Reply::reset, {}); });
   }
   void tried(const std::shared_ptr<Request>& r, std::uint32_t endpoint, Ms sent, Reply how,
-             const std::map<std::string, double>& load, bool) {
+             const std::map<std::string, double>& load) {
     ProxyRun& p = proxies_[r->proxy];
     if (p.life != r->life) return;
     Ms now = engine_.now();
@@ -834,7 +801,6 @@
   std::map<std::uint32_t, std::size_t> by_id_;
   std::deque<ProxyRun> proxies_;
   std::map<std::size_t, std::vector<std::weak_ptr<Request>>> at_proxy_;
-  std::size_t out_at_proxy_ = 64;
   std::map<std::uint32_t, AssignerRun> assigners_;
   std::map<std::uint32_t, Listing> shown_;
   std::map<std::uint32_t, Ms> list_at_;
--- a/src/emulator/swarm.cpp
+++ b/src/emulator/swarm.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <pcg_random.hpp>
 #include <random>
 #include <thread>
@@ -50,43 +51,45 @@
   return kAll;
 }
 
-std::string seconds(double s) { return fmt::format("{}ms", std::llround(s * 1000)); }
+std::string ms_text(Ms ms) { return fmt::format("{}ms", ms); }
 
-// Troubles as the lines of a day file.
-std::vector<std::string> draw_troubles(const day::Day& stage, std::uint64_t seed, std::size_t most) {
+// Values are drawn as a day file can hold them, so that the file plays the same day.
+std::vector<day::Trouble> draw_troubles(const day::Day& stage, std::uint64_t seed, std::size_t most) {
   pcg32 random(seed, 0x5ea);
   auto between = [&](double a, double b) { return std::uniform_real_distribution<double>(a, b)(random); };
+  auto ms = [&](double a, double b) { return static_cast<Ms>(std::llround(between(a, b) * 1000)); };
+  auto hundredths = [&](double a, double b) { return std::round(between(a, b) * 100) / 100; };
+  auto one_of = [&](std::size_t count) { return random(static_cast<std::uint32_t>(count)); };
   double length = stage.length / 1000;
-  std::size_t count = 1 + random(static_cast<std::uint32_t>(most));
-  std::vector<std::string> out;
-  for (std::size_t k = 0; k < count; ++k) {
-    const KindDrawn& kind = kinds()[random(static_cast<std::uint32_t>(kinds().size()))];
-    std::string line = fmt::format("{{at: {}, kind: \"{}\"", seconds(between(0.2, length * 0.7)), kind.kind);
-    if (kind.for_most > 0)
-      line += ", for: " + seconds(between(kind.for_least, std::min(kind.for_most, length / 2)));
-    if (kind.part_most > 0) line += fmt::format(", part: {:.2f}", between(kind.part_least, kind.part_most));
-    if (kind.size_most > 0) line += fmt::format(", size: {:.2f}", between(kind.size_least, kind.size_most));
-    if (kind.extra_most > 0)
-      line += fmt::format(", extra: {:.2f}", between(kind.extra_least, kind.extra_most));
-    if (kind.by_locality) {
-      auto z = random(static_cast<std::uint32_t>(stage.policy.localities.size()));
-      line += ", locality: \"" + stage.policy.localities[z] + "\"";
-    }
-    const char* how = kind.how[random(static_cast<std::uint32_t>(kind.how.size()))];
-    if (*how) line += fmt::format(", how: \"{}\"", how);
-    if (std::string(kind.kind) == "class_fail") {
-      std::size_t c = random(static_cast<std::uint32_t>(stage.policy.classes.size()));
-      line += ", class: \"" + stage.class_names[c] + "\"";
-    }
-    out.push_back(line + "}");
+  std::vector<day::Trouble> out(1 + one_of(most));
+  for (day::Trouble& t : out) {
+    const KindDrawn& kind = kinds()[one_of(kinds().size())];
+    t.kind = kind.kind;
+    t.at = ms(0.2, length * 0.7);
+    if (kind.for_most > 0) t.lasts = ms(kind.for_least, std::min(kind.for_most, length / 2));
+    if (kind.part_most > 0) t.part = hundredths(kind.part_least, kind.part_most);
+    if (kind.size_most > 0) t.size = hundredths(kind.size_least, kind.size_most);
+    if (kind.extra_most > 0) t.extra = hundredths(kind.extra_least, kind.extra_most);
+    if (kind.by_locality) t.locality = one_of(stage.policy.localities.size());
+    t.how = kind.how[one_of(kind.how.size())];
+    if (t.kind == "class_fail") t.request_class = one_of(stage.policy.classes.size());
   }
-  std::sort(out.begin(), out.end());
+  std::stable_sort(out.begin(), out.end(), [](auto& a, auto& b) { return a.at < b.at; });
   return out;
 }
 
-std::string day_file(std::uint64_t seed, const std::vector<std::string>& troubles) {
-  std::string out = fmt::format("name: \"swarm-{}\"\nabout: \"drawn by a swarm\"\ntroubles: [\n", seed);
-  for (const std::string& t : troubles) out += "  " + t + ",\n";
+std::string day_file(const day::Day& stage, std::uint64_t seed, const std::vector<day::Trouble>& troubles) {
+  std::string out = fmt::format(
+      "// play it with --seed {0}\nname: \"swarm-{0}\"\nabout: \"drawn by a swarm\"\ntroubles: [\n", seed);
+  for (const day::Trouble& t : troubles) {
+    out += fmt::format("  {{at: {}, kind: \"{}\", for: {}", ms_text(t.at), t.kind, ms_text(t.lasts));
+    if (t.part > 0) out += fmt::format(", part: {}", t.part);
+    out += fmt::format(", size: {}, extra: {}", t.size, t.extra);
+    if (t.locality) out += ", locality: \"" + stage.policy.localities[*t.locality] + "\"";
+    if (t.request_class) out += ", class: \"" + stage.class_names[*t.request_class] + "\"";
+    if (!t.how.empty()) out += ", how: \"" + t.how + "\"";
+    out += "},\n";
+  }
   return out + "]\n";
 }
 
@@ -94,12 +97,10 @@
   Emulated played;
   std::string failure;  // empty: the day is well
 };
-One play(const std::vector<config::Source>& stage, std::uint64_t seed,
-         const std::vector<std::string>& troubles, const std::string& sabotage) {
-  std::vector<config::Source> files = stage;
-  files.push_back({fmt::format("swarm-{}.cue", seed), day_file(seed, troubles)});
-  day::Day day = day::load_day(files);
-  day.seed = seed;
+One play(const day::Day& stage, std::uint64_t seed, const std::vector<day::Trouble>& troubles,
+         const std::string& sabotage) {
+  day::Day day = stage;
+  day.seed = seed, day.troubles = troubles;
   One out;
   try {
     out.played = emulate(day, {.sabotage = sabotage, .replay = false, .say = {}});
@@ -117,13 +118,13 @@
 }
 
 // Leaves out one trouble after the other for as long as the day still fails.
-Failure shrink(const std::vector<config::Source>& stage, std::uint64_t seed,
-               std::vector<std::string> troubles, const std::string& sabotage, std::string what) {
+Failure shrink(const day::Day& stage, std::uint64_t seed, std::vector<day::Trouble> troubles,
+               const std::string& sabotage, std::string what) {
   Failure out{seed, std::move(what), troubles.size(), {}};
   for (bool smaller = true; smaller;) {
     smaller = false;
     for (std::size_t k = 0; k < troubles.size(); ++k) {
-      std::vector<std::string> fewer = troubles;
+      std::vector<day::Trouble> fewer = troubles;
       fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(k));
       One again = play(stage, seed, fewer, sabotage);
       if (again.failure.empty()) continue;
@@ -131,27 +132,23 @@
       break;
     }
   }
-  out.day_file = fmt::format("// play it with --seed {}\n", seed) + day_file(seed, troubles);
+  out.day_file = day_file(stage, seed, troubles);
   return out;
 }
 
 }  // namespace
 
-std::string draw_day(const day::Day& stage, std::uint64_t seed, std::size_t most_troubles) {
-  return day_file(seed, draw_troubles(stage, seed, most_troubles));
-}
-
-SwarmResult swarm(const std::vector<config::Source>& stage, const SwarmOptions& o) {
-  std::vector<config::Source> plain = stage;
+SwarmResult swarm(const std::vector<config::Source>& files, const SwarmOptions& o) {
+  std::vector<config::Source> plain = files;
   plain.push_back({"swarm.cue", "name: \"swarm\"\n"});
-  day::Day base = day::load_day(plain);
+  const day::Day stage = day::load_day(plain);
   std::vector<One> all(o.days);
-  std::vector<std::vector<std::string>> troubles(o.days);
+  std::vector<std::vector<day::Trouble>> troubles(o.days);
   std::atomic<std::size_t> next = 0, done = 0;
   auto work = [&] {
     for (std::size_t k = next++; k < o.days; k = next++) {
       std::uint64_t seed = o.seed + k;
-      troubles[k] = draw_troubles(base, seed, o.most_troubles);
+      troubles[k] = draw_troubles(stage, seed, o.most_troubles);
       all[k] = play(stage, seed, troubles[k], o.sabotage);
       all[k].played.verdict = {};
       o.progress(++done);
--- a/src/emulator/swarm.h
+++ b/src/emulator/swarm.h
@@ -37,9 +37,6 @@
 };
 
 // Days on the stage that the files give (without troubles of their own). Throws config::ConfigError.
-SwarmResult swarm(const std::vector<config::Source>& stage, const SwarmOptions& options);
-
-// Day `seed` of a swarm, as a file.
-std::string draw_day(const day::Day& stage, std::uint64_t seed, std::size_t most_troubles);
+SwarmResult swarm(const std::vector<config::Source>& files, const SwarmOptions& options);
 
 }  // namespace beamshunt::emulator
--- a/src/gate/shadow.cpp
+++ b/src/gate/shadow.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <random>
 
+#include "standin/list.h"
 #include "standin/proxy_model.h"
 #include "standin/server_model.h"
 
@@ -93,19 +94,11 @@
     out.taken_over = changed;
     // Guarantees of the servers are what they are, whatever the new settings say of them.
     const Settings &had = now_.policy, &has = next_.policy;
-    audit::Limits limits{.classes = had.classes,
-                         .empty_for = has.empty_for.count(),
-                         .drain_grace = has.drain_grace.count(),
-                         .warm_up = had.warm_up.count(),
-                         .fall = had.fall.count(),
-                         .messages_span = has.pushes_span.count(),
-                         .start_capacity = had.start_capacity,
-                         .tip_multiple = had.tip_multiple,
-                         .most_waiting_lines = has.most_waiting_lines,
-                         .messages_allowed = has.pushes_allowed,
-                         .gone_is_advice = has.gone_is_advice,
-                         .margin = 2 * kStep,
-                         .capacity_slack = 1.3};
+    audit::Limits limits = audit::limits_of(has);
+    limits.classes = had.classes;
+    limits.warm_up = had.warm_up.count(), limits.fall = had.fall.count();
+    limits.start_capacity = had.start_capacity, limits.tip_multiple = had.tip_multiple;
+    limits.margin = 2 * kStep, limits.capacity_slack = 1.3;
     out.verdict = audit::judge(taps_.entries, limits);
     out.service = asked_ > 0 ? served_ / asked_ : 1;
     out.requests = requests_;
@@ -135,10 +128,6 @@
     std::set<std::uint32_t> tried;
     std::uint32_t endpoint = 0;
   };
-  struct Later {  // something that travels
-    Ms at = 0;
-    std::function<void()> call;
-  };
 
   // ---- The fleet ----
   // The core begins with the list that it holds: else its first orders would be those of a first start.
@@ -224,33 +213,30 @@
   }
 
   // ---- The list ----
-  std::string list_line(const std::vector<std::uint32_t>& ids, bool total) {
-    std::string entries;
+  void tell(const std::vector<std::uint32_t>& ids, bool total) {
+    std::vector<Listing> entries;
     for (std::uint32_t id : ids) {
       const ServerRun& s = servers_.at(id);
-      if (total && !s.listed.open && !draining_.contains(id)) continue;
-      const char* state = draining_.contains(id) ? "terminating"
-                          : s.listed.open        ? "in_service"
-                                                 : "terminated";
-      entries +=
-          fmt::format(R"({}{{"id":{},"locality":"{}","cell":{},"size":{},"state":"{}","started_ms":{},)"
-                      R"("address":"{}"}})",
-                      entries.empty() ? "" : ",", id, now_.policy.localities[s.listed.locality],
-                      s.listed.cell, s.listed.size, state, s.started > 0 ? kWall - kStart + s.started : 0,
-                      net::to_string(s.listed.address));
-      taps_.note(t_, ListTold{0, id, s.listed.locality,
-                              draining_.contains(id) ? ListTold::State::terminating
-                              : s.listed.open        ? ListTold::State::in_service
-                                                     : ListTold::State::gone,
-                              s.started});
+      if (total && !s.listed.open) continue;
+      entries.push_back({.id = id,
+                         .locality = s.listed.locality,
+                         .cell = s.listed.cell,
+                         .size = s.listed.size,
+                         .state = draining_.contains(id) ? ListTold::State::terminating
+                                  : s.listed.open        ? ListTold::State::in_service
+                                                         : ListTold::State::gone,
+                         .started_wall_ms = s.started > 0 ? kWall - kStart + s.started : 0,
+                         .started = s.started,
+                         .address = s.listed.address});
+      taps_.note(t_, ListTold{0, id, s.listed.locality, entries.back().state, s.started});
     }
-    return fmt::format(R"({{"kind":"{}","version":{},"entries":[{}]}})", total ? "total" : "changes",
-                       ++list_version_, entries);
+    core_.list_line(list_json(total, ++list_version_, entries, now_.policy.localities), t_,
+                    kWall - kStart + t_);
   }
   void whole_list() {
     std::vector<std::uint32_t> ids;
     for (auto& [id, s] : servers_) ids.push_back(id);
-    core_.list_line(list_line(ids, true), t_, kWall - kStart + t_);
+    tell(ids, true);
   }
   ServerRun* busiest_locality_server(std::size_t which) {
     std::map<std::uint32_t, std::vector<ServerRun*>> open;
@@ -266,7 +252,7 @@
     ServerRun* s = busiest_locality_server(0);
     if (!s) return;
     draining_.insert(s->listed.id);
-    core_.list_line(list_line({s->listed.id}, false), t_, kWall - kStart + t_);
+    tell({s->listed.id}, false);
   }
   void restart_one() {
     ServerRun* s = busiest_locality_server(1);
@@ -276,7 +262,7 @@
     s->started = t_;
     taps_.note(t_, ServerUp{s->listed.id, s->listed.locality, s->listed.cell, true,
                             static_cast<double>(s->model->spec().cores), s->model->spec().speed});
-    core_.list_line(list_line({s->listed.id}, false), t_, kWall - kStart + t_);
+    tell({s->listed.id}, false);
   }
 
   // ---- Time ----
@@ -334,10 +320,8 @@
     }
   }
   void carry_out(assigner::CloseStream& e) {
-    if (ProxyRun* p = owner(e.stream); p && std::exchange(p->joined, false)) {
+    if (ProxyRun* p = owner(e.stream); p && std::exchange(p->joined, false))
       taps_.note(t_, StreamDown{p->from.id});
-      ++lost_streams_;
-    }
   }
   void carry_out(assigner::OpenWatch&) {
     at(t_ + kProbeTook, [this] { whole_list(); });
@@ -449,7 +433,6 @@
   std::map<std::uint64_t, Request> out_;
   std::uint64_t last_request_ = 0, list_version_ = 0;
   double work_ = 1, all_rate_ = 0, asked_ = 0, served_ = 0, requests_ = 0;
-  int lost_streams_ = 0;
 };
 
 }  // namespace
--- a/src/standin/list.h
+++ b/src/standin/list.h
@@ -21,6 +21,10 @@
   net::Address address{};
 };
 
+// A list as the service tells it: whole, or what has changed.
+std::string list_json(bool total, std::uint64_t version, const std::vector<Listing>& entries,
+                      const std::vector<std::string>& localities);
+
 class ListService {
  public:
   ListService(World& world, net::Address at, std::vector<std::string> localities);
@@ -37,7 +41,9 @@
   };
   void open();
   void handle(http::Message&& message, http::Responder responder);
-  std::string json(bool total, const std::vector<Listing>& entries) const;
+  std::string line(bool total, const std::vector<Listing>& entries) const {
+    return list_json(total, version_, entries, localities_) + "\n";
+  }
   void tell(std::uint32_t instance, const std::vector<Listing>& entries);
   void show(const Listing& listing);
   void beat();
