Emulator: the audit judges as it goes, baselines beside the module, figures by time

The emulator kept every tap until the end and the audit walked all proxies at every event, which bounded both size and length. Several assigners of a locality share its proxies. Hosts may be a baseline: round robin, static weights, least load, two-choice.

--- a/src/assigner/core.h
+++ b/src/assigner/core.h
@@ -124,6 +124,7 @@
   std::size_t streams() const { return streams_.size(); }
   std::size_t proxies() const { return proxies_.size(); }
   double waiting_lines() const;  // decided and not yet confirmed
+  Ms oldest_report(Ms now) const { return intake_.oldest(now); }  // that waits for the module
   bool taking_over() const { return modules_.size() > 1; }
   Fleet fleet(Ms now) const;
   std::string list_bytes() const { return book_.to_bytes(); }
--- a/src/audit/rules.cpp
+++ b/src/audit/rules.cpp
@@ -17,9 +17,11 @@
 
 constexpr double kKnowingPart = 2.0 / 3;  // of a cold server's load, for the push to be the assigners' doing
 
-class Judge {
+}  // namespace
+
+class Watch::Judge {
  public:
-  Judge(const Limits& limits) : limits_(limits) {}
+  explicit Judge(Limits limits) : limits_(std::move(limits)) {}
 
   void see(Ms at, const Seen& seen) {
     now_ = at;
@@ -48,10 +50,18 @@
     std::vector<Lines> by_class;
     std::map<std::uint32_t, Lines> tables;
     std::set<std::uint32_t> withdrawn;
-    std::vector<Ms> empty_since;  // by class; below 0: not empty, or nothing could be in it
-    std::deque<Ms> messages;      // within the span, by when they were decided
+    std::vector<Ms> lacking;  // by class, since when there is no line; below 0: there is one, or no stream
+    std::deque<Ms> messages;  // within the span, by when they were decided
     bool bound = false;
   };
+  // Proxies of one locality and assigner without a line for a class; and whether they could have one.
+  struct Lacking {
+    std::set<std::pair<Ms, std::uint32_t>> proxies;  // by since when
+    Ms could_since = -1;                             // below 0: they could not
+    Ms looked_until = -1;                            // what was found holds so long, and
+    std::uint64_t list_changes = 0;                  // while the list has not changed
+  };
+  using LackingKey = std::tuple<std::uint32_t, std::uint32_t, std::size_t>;  // instance, locality, class
   struct Taken {
     Ms at = 0;
     std::uint32_t endpoint = 0;
@@ -72,13 +82,15 @@
   void broken(Rule rule, const std::string& place, const std::string& what) {
     if (told_.insert({rule, place}).second) verdict_.breaks.push_back({rule, now_, what});
   }
-  void near(Rule rule, double part, const std::string& text) {
+  template <typename Text>
+  void near(Rule rule, double part, const Text& text) {
     auto k = static_cast<std::size_t>(rule);
-    if (part > verdict_.nearest[k]) verdict_.nearest[k] = part, verdict_.nearest_text[k] = text;
+    if (part > verdict_.nearest[k]) verdict_.nearest[k] = part, verdict_.nearest_text[k] = text();
   }
 
   // ---- What the assigners were told ----
   void on(const ListTold& x) {
+    ++list_changes_;
     Listed& l = lists_[x.instance][x.endpoint];
     bool open = x.state == ListTold::State::in_service;
     if (open && (l.closed >= 0 || l.started != x.started || l.start_told == 0)) l.start_told = now_;
@@ -87,29 +99,42 @@
     l.was_terminating |= x.state == ListTold::State::terminating;
     l.state = x.state, l.locality = x.locality, l.started = x.started;
   }
-  void on(const AssignerDown& x) { lists_.erase(x.instance); }
+  void on(const AssignerDown& x) { lists_.erase(x.instance), ++list_changes_; }
 
   // ---- What the proxies hold ----
   void on(const ProxyStanding& x) {
-    ProxySeen& p = proxies_[x.proxy] = {};
+    ProxySeen& p = proxies_[x.proxy];
+    forget_lacks(x.proxy, p);
+    p = {};
     p.locality = x.locality;
     auto standing = std::make_shared<std::map<std::uint32_t, double>>();
     for (std::uint32_t e : x.endpoints) (*standing)[e] = 1;
     p.by_class.assign(limits_.classes.size(), standing);
-    p.empty_since.assign(limits_.classes.size(), -1);
+    p.lacking.assign(limits_.classes.size(), -1);
+  }
+  void on(const ProxyDown& x) {
+    auto found = proxies_.find(x.proxy);
+    if (found == proxies_.end()) return;
+    forget_lacks(x.proxy, found->second);
+    proxies_.erase(found);
   }
-  void on(const ProxyDown& x) { proxies_.erase(x.proxy); }
   void on(const StreamUp& x) {
     ProxySeen& p = proxies_[x.proxy];
+    forget_lacks(x.proxy, p);
     p.instance = x.instance, p.joined = now_, p.last_decided = -1;
     p.tables.clear(), p.messages.clear();
     p.bound = false;
-    p.empty_since.assign(p.empty_since.size(), -1);
+    note_lacks(x.proxy, p);
+  }
+  void on(const StreamDown& x) {
+    ProxySeen& p = proxies_[x.proxy];
+    forget_lacks(x.proxy, p);
+    p.instance.reset();
   }
-  void on(const StreamDown& x) { proxies_[x.proxy].instance.reset(); }
   void on(const OrdersCame& x) {
     ProxySeen& p = proxies_[x.proxy];
     for (const channel::Order& order : x.message.orders) apply(p, order);
+    note_lacks(x.proxy, p);
     p.last_decided = std::max(p.last_decided, x.message.decided_at_ms);
     if (!p.instance) return;
     in_channel_[*p.instance].push_back({x.message.decided_at_ms, x.message.lines});
@@ -117,12 +142,13 @@
     p.messages.push_back(x.message.decided_at_ms);
     while (x.message.decided_at_ms - p.messages.front() > limits_.messages_span) p.messages.pop_front();
     if (limits_.messages_allowed <= 0) return;
-    std::string text =
-        fmt::format("{} messages to proxy {} within {:.0f} ms, {} are allowed", p.messages.size(), x.proxy,
-                    limits_.messages_span, limits_.messages_allowed);
+    auto text = [&] {
+      return fmt::format("{} messages to proxy {} within {:.0f} ms, {} are allowed", p.messages.size(),
+                         x.proxy, limits_.messages_span, limits_.messages_allowed);
+    };
     near(Rule::queue, static_cast<double>(p.messages.size()) / limits_.messages_allowed, text);
     if (p.messages.size() > static_cast<std::size_t>(limits_.messages_allowed))
-      broken(Rule::queue, fmt::format("proxy {}", x.proxy), text);
+      broken(Rule::queue, fmt::format("proxy {}", x.proxy), text());
   }
   void apply(ProxySeen& p, const channel::Order& order) {
     auto table = [&](std::uint32_t number) -> Lines& {
@@ -151,38 +177,69 @@
     return std::any_of(p.by_class[c]->begin(), p.by_class[c]->end(),
                        [&](auto& line) { return !p.withdrawn.contains(line.first); });
   }
-  bool could_have(const ProxySeen& p, std::size_t c) const {
-    auto list = lists_.find(*p.instance);
-    if (list == lists_.end()) return false;
-    return std::any_of(list->second.begin(), list->second.end(), [&](auto& item) {
-      const Listed& l = item.second;
-      return l.state == ListTold::State::in_service && now_ - l.started >= limits_.warm_up &&
-             (!limits_.classes[c].home_only || l.locality == p.locality);
-    });
+  static bool lacks(Ms since) { return since >= 0; }
+  LackingKey key_of(const ProxySeen& p, std::size_t c) const { return {*p.instance, p.locality, c}; }
+  void note_lacks(std::uint32_t id, ProxySeen& p) {
+    for (std::size_t c = 0; c < p.by_class.size() && p.instance; ++c) {
+      bool lacking = !has_line(p, c);
+      if (lacking == lacks(p.lacking[c])) continue;
+      if (!lacking) {
+        forget_lack(id, p, c);
+      } else {
+        p.lacking[c] = now_;
+        lacking_[key_of(p, c)].proxies.emplace(now_, id);
+      }
+    }
+  }
+  void forget_lack(std::uint32_t id, ProxySeen& p, std::size_t c) {
+    auto place = lacking_.find(key_of(p, c));
+    place->second.proxies.erase({std::exchange(p.lacking[c], -1), id});
+    if (place->second.proxies.empty()) lacking_.erase(place);
+  }
+  void forget_lacks(std::uint32_t id, ProxySeen& p) {
+    for (std::size_t c = 0; c < p.lacking.size(); ++c)
+      if (lacks(p.lacking[c])) forget_lack(id, p, c);
+  }
+  // Some listed server is warm and may be used there. What is found changes with the list, and with time
+  // only where a server becomes warm.
+  void look_whether_they_could(const LackingKey& key, Lacking& place) {
+    auto [instance, locality, c] = key;
+    if (place.list_changes == list_changes_ && now_ < place.looked_until) return;
+    place.list_changes = list_changes_, place.looked_until = base::kNever;
+    bool could = false;
+    for (auto& [id, l] : lists_[instance]) {
+      if (l.state != ListTold::State::in_service) continue;
+      if (limits_.classes[c].home_only && l.locality != locality) continue;
+      could = now_ - l.started >= limits_.warm_up;
+      if (could) break;
+      place.looked_until = std::min(place.looked_until, l.started + limits_.warm_up);
+    }
+    if (could) place.looked_until = base::kNever;
+    place.could_since = !could ? -1 : place.could_since < 0 ? now_ : place.could_since;
   }
   void look_for_empty() {
-    for (auto& [id, p] : proxies_)
-      for (std::size_t c = 0; c < p.by_class.size(); ++c) {
-        Ms& since = p.empty_since[c];
-        if (!p.instance || has_line(p, c) || !could_have(p, c)) {
-          since = -1;
-          continue;
-        }
-        if (since < 0) since = now_;
-        std::string text =
-            fmt::format("proxy {} without a server for class {} for {:.0f} ms, {:.0f} are allowed", id, c,
-                        now_ - since, limits_.empty_for);
-        near(Rule::empty, (now_ - since) / limits_.empty_for, text);
-        if (now_ - since > limits_.empty_for + limits_.margin)
-          broken(Rule::empty, fmt::format("{} {}", id, c), text);
+    for (auto& [key, place] : lacking_) {
+      look_whether_they_could(key, place);
+      if (place.could_since < 0) continue;
+      for (auto& [lacking, id] : place.proxies) {  // the longest first
+        Ms for_so_long = now_ - std::max(lacking, place.could_since);
+        auto text = [&, id = id] {
+          return fmt::format("proxy {} without a server for class {} for {:.0f} ms, {:.0f} are allowed", id,
+                             std::get<2>(key), for_so_long, limits_.empty_for);
+        };
+        near(Rule::empty, for_so_long / limits_.empty_for, text);
+        if (for_so_long <= limits_.empty_for + limits_.margin) break;
+        broken(Rule::empty, fmt::format("{} {}", id, std::get<2>(key)), text());
       }
+    }
   }
 
   // ---- Rule 2 ----
   void on(const TryTaken& x) {
-    auto& before = taken_[x.request];
     const RequestClass& c = limits_.classes[x.request_class];
-    if (!before.empty() && c.semantics != Semantics::retryable) {
+    if (c.semantics == Semantics::retryable) return;
+    auto& before = taken_[x.request];
+    if (!before.empty()) {
       const Taken& first = before.front();
       const ServerSeen &a = servers_[first.endpoint], &b = servers_[x.endpoint];
       bool together = c.scope == DedupScope::all ||
@@ -223,12 +280,15 @@
     if (listed == list->second.end() || listed->second.closed < 0) return;
     if (limits_.gone_is_advice && !listed->second.was_terminating) return;
     Ms late = now_ - std::max(listed->second.closed, p.joined);
-    std::string text = fmt::format(
-        "proxy {} sent to server {} {:.0f} ms after its assigner was told that it drains "
-        "or is gone, {:.0f} are allowed",
-        x.proxy, x.endpoint, late, limits_.drain_grace);
+    auto text = [&] {
+      return fmt::format(
+          "proxy {} sent to server {} {:.0f} ms after its assigner was told that it drains "
+          "or is gone, {:.0f} are allowed",
+          x.proxy, x.endpoint, late, limits_.drain_grace);
+    };
     near(Rule::drain, late / limits_.drain_grace, text);
-    if (late > limits_.drain_grace + limits_.margin) broken(Rule::drain, fmt::format("{}", x.endpoint), text);
+    if (late > limits_.drain_grace + limits_.margin)
+      broken(Rule::drain, fmt::format("{}", x.endpoint), text());
   }
   bool knows_start(const ProxySeen& p, std::uint32_t endpoint, Ms started) const {
     if (!p.instance) return false;
@@ -255,14 +315,16 @@
     double all = 0, knowing = 0;
     for (auto& sent : s.window) all += sent.work, knowing += sent.knowing ? sent.work : 0;
     double may = limits_.tip_multiple * s.capacity * ramp * limits_.fall;
-    std::string text = fmt::format(
-        "server {}, {:.0f} ms after its cold start, was sent {:.0f} ms of work within "
-        "{:.0f} ms, it may be sent {:.0f}",
-        endpoint, now_ - s.started, all, limits_.fall, may);
+    auto text = [&] {
+      return fmt::format(
+          "server {}, {:.0f} ms after its cold start, was sent {:.0f} ms of work within "
+          "{:.0f} ms, it may be sent {:.0f}",
+          endpoint, now_ - s.started, all, limits_.fall, may);
+    };
     bool theirs = knowing >= kKnowingPart * all;
     if (theirs) near(Rule::cold, all / may, text);
     if (theirs && (fell || all > may * limits_.capacity_slack))
-      broken(Rule::cold, fmt::format("{}", endpoint), text);
+      broken(Rule::cold, fmt::format("{}", endpoint), text());
   }
   void on(const ServerUp& x) {
     servers_[x.endpoint] = {x.locality, x.cell, true, x.cold, now_, x.cores * x.speed, {}};
@@ -284,11 +346,13 @@
       for (auto& [at, lines] : changes) {
         waiting += lines;
         now_ = at;
-        std::string text = fmt::format("{:.0f} lines waited in the channel of assigner {}, {:.0f} may",
-                                       waiting, instance, limits_.most_waiting_lines);
+        auto text = [&] {
+          return fmt::format("{:.0f} lines waited in the channel of assigner {}, {:.0f} may", waiting,
+                             instance, limits_.most_waiting_lines);
+        };
         near(Rule::queue, waiting / limits_.most_waiting_lines, text);
         if (waiting > limits_.most_waiting_lines)
-          broken(Rule::queue, fmt::format("assigner {}", instance), text);
+          broken(Rule::queue, fmt::format("assigner {}", instance), text());
       }
     }
   }
@@ -297,19 +361,24 @@
   void on(const Refused&) {}
   void on(const Note&) {}
 
-  const Limits& limits_;
+  const Limits limits_;
   Ms now_ = 0;
   Verdict verdict_;
   std::set<std::pair<Rule, std::string>> told_;
   std::map<std::uint32_t, std::map<std::uint32_t, Listed>> lists_;  // by instance, by endpoint
+  std::uint64_t list_changes_ = 0;
   std::map<std::uint32_t, ProxySeen> proxies_;
+  std::map<LackingKey, Lacking> lacking_;
   std::map<std::uint32_t, ServerSeen> servers_;
   std::map<std::uint64_t, std::vector<Taken>> taken_;
   std::map<std::uint64_t, std::uint32_t> effects_;
   std::map<std::uint32_t, std::vector<std::pair<Ms, double>>> in_channel_;
 };
 
-}  // namespace
+Watch::Watch(Limits limits) : judge_(std::make_unique<Judge>(std::move(limits))) {}
+Watch::~Watch() = default;
+void Watch::see(Ms at, const Seen& seen) { judge_->see(at, seen); }
+Verdict Watch::finish() { return judge_->finish(); }
 
 Limits limits_of(const Settings& p) {
   return {.classes = p.classes,
@@ -342,9 +411,9 @@
 }
 
 Verdict judge(const std::vector<Taps::Entry>& seen, const Limits& limits) {
-  Judge judge(limits);
-  for (const Taps::Entry& entry : seen) judge.see(entry.at, entry.seen);
-  return judge.finish();
+  Watch watch(limits);
+  for (const Taps::Entry& entry : seen) watch.see(entry.at, entry.seen);
+  return watch.finish();
 }
 
 }  // namespace beamshunt::audit
--- a/src/audit/rules.h
+++ b/src/audit/rules.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <array>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,19 @@
   bool broke(Rule rule) const;
 };
 
+// Judges what passes as it passes, and keeps of it what a later judgement needs: a day of any length.
+class Watch {
+ public:
+  explicit Watch(Limits limits);
+  ~Watch();
+  void see(Ms at, const standin::Seen& seen);  // in the order of the times
+  Verdict finish();                            // once, at the end
+
+ private:
+  class Judge;
+  std::unique_ptr<Judge> judge_;
+};
+
 Verdict judge(const std::vector<standin::Taps::Entry>& seen, const Limits& limits);
 
 }  // namespace beamshunt::audit
--- a/src/day/day.cpp
+++ b/src/day/day.cpp
@@ -1,6 +1,7 @@
 #include "day/day.h"
 
 #include <algorithm>
+#include <map>
 
 namespace beamshunt::day {
 namespace {
@@ -32,15 +33,15 @@
   assigners: [...{ instance: int & >=0 & <1000 | *0, locality: string }]
   servers: [...{
     locality: string
-    count: int & >0 & <=200
+    count: int & >0 & <=100000
     cores: int & >0 | *2
     speed: number & >0 | *1
     queue: int & >=0 | *64
     cell: int & >0 | *3          // servers of a pod
   }]
-  proxies: [...{ locality: string, count: int & >0 & <=100 }]
+  proxies: [...{ locality: string, count: int & >0 & <=1000000 }]
   proxy: {
-    pick: *"weighted" | "two"
+    pick: *"weighted" | "two" | "round" | "least"
     avoid_after: int & >=0 | *3
     avoid_for: duration | *2s
     standing: int & >0 | *3
@@ -145,7 +146,10 @@
     for (const Tree& p : tree_.at("proxies").items)
       day_.proxies[locality(p.at("locality"), "proxies.locality")] += static_cast<int>(p.whole("count"));
     const Tree& proxy = tree_.at("proxy");
-    day_.pick = proxy.string("pick") == "two" ? standin::Pick::two : standin::Pick::weighted;
+    using standin::Pick;
+    const std::map<std::string, Pick> kPicks{
+        {"weighted", Pick::weighted}, {"two", Pick::two}, {"round", Pick::round}, {"least", Pick::least}};
+    day_.pick = kPicks.at(proxy.string("pick"));
     day_.avoid_after = static_cast<int>(proxy.whole("avoid_after"));
     day_.avoid_for = proxy.real("avoid_for"), day_.redial = proxy.real("redial");
     day_.standing = static_cast<std::size_t>(proxy.whole("standing"));
--- a/src/day/player.cpp
+++ b/src/day/player.cpp
@@ -284,8 +284,9 @@
     ProxyOptions o;
     run.front = o.front = {addresses_.ip(run.locality, 1, id + 1), kFrontPort};
     for (auto& [instance, z] : day_.assigners) o.assigners.push_back({instance, z, channel_of(instance)});
-    std::stable_partition(o.assigners.begin(), o.assigners.end(),
-                          [&](const AssignerPlace& a) { return a.locality == run.locality; });
+    auto others = std::stable_partition(o.assigners.begin(), o.assigners.end(),
+                                        [&](const AssignerPlace& a) { return a.locality == run.locality; });
+    share_assigners(o.assigners, static_cast<std::size_t>(others - o.assigners.begin()), id);
     for (const RequestClass& c : day_.policy.classes)
       o.slo.push_back(c.slo.count()), o.deadline.push_back(c.deadline.count());
     o.retry_wait_factor = day_.policy.retry_wait_factor;
--- a/src/day/script.h
+++ b/src/day/script.h
@@ -2,6 +2,7 @@
 // language of troubles, played the same on both.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <pcg_random.hpp>
@@ -65,6 +66,15 @@
 std::vector<standin::Place> standing_table(const Day& day, std::uint32_t locality,
                                            const std::vector<standin::Listing>& shown, pcg32& random);
 
+// A proxy's assigners in the order that it dials them: its locality's own `own` ones come first, and proxies
+// share them by their number.
+template <typename Assigner>
+void share_assigners(std::vector<Assigner>& in_order, std::size_t own, std::uint32_t proxy) {
+  if (own < 2) return;
+  auto end = in_order.begin() + static_cast<std::ptrdiff_t>(own);
+  std::rotate(in_order.begin(), in_order.begin() + static_cast<std::ptrdiff_t>(proxy % own), end);
+}
+
 class Script {
  public:
   Script(Stage& stage, const Day& day, pcg32& random) : stage_(stage), day_(day), random_(random) {}
--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -1,7 +1,6 @@
 #include "emulator/emulator.h"
 
 #include <fmt/format.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <deque>
@@ -11,9 +10,7 @@
 #include <random>
 #include <stdexcept>
 
-#include "assigner/core.h"
 #include "audit/sabotage.h"
-#include "base/archive.h"
 #include "day/script.h"
 #include "emulator/engine.h"
 #include "record/record.h"
@@ -25,7 +22,6 @@
 namespace {
 
 using namespace standin;
-using assigner::Core;
 using assigner::StreamId;
 
 constexpr Ms kStart = 1e6;         // an instant as good as any
@@ -38,6 +34,8 @@
 constexpr Ms kLittleTime = 20;     // of the deadline left: no further try is worth it
 constexpr std::uint32_t kFailuresToMove = 2;
 constexpr Ms kListAnswer = 1;
+constexpr std::uint32_t kFirstFront = 1 << 20;
+constexpr std::uint32_t kFirstNet = 10;      // addresses of locality z: (10 + z).0.0.0/8
 constexpr std::size_t kMostForgotten = 256;  // requests of a proxy that have ended, before they are let go
 
 enum class Reply { good, error, refused, reset, unreachable };
@@ -45,12 +43,20 @@
 class Emulator final : private day::Stage {
  public:
   Emulator(const day::Day& day, const EmulateOptions& options)
-      : day_(day), options_(options), engine_(kStart), random_(day.seed), traffic_random_(day.seed) {
+      : day_(day),
+        options_(options),
+        engine_(kStart),
+        random_(day.seed),
+        traffic_random_(day.seed),
+        watch_(day.limits),
+        summary_(day.policy.classes) {
+    day_.pick = pick_of(options.policy, day_.pick);
     for (std::uint32_t z = 0; z < localities(); ++z)
-      if (auto reason = prefixes_.add(fmt::format("127.{}.0.0/16", 16 + z), z))
-        throw std::logic_error(*reason);
+      if (auto reason = prefixes_.add(fmt::format("{}.0.0.0/8", kFirstNet + z), z))
+        throw std::runtime_error("too many localities: " + *reason);
     rate_factor_.assign(localities(), 1);
-    turns_.assign(localities(), 0);
+    fronts_.resize(localities());
+    for (const TrafficClass& c : day_.classes) shares_.push_back(c.share);
   }
 
   Emulated play() {
@@ -72,6 +78,9 @@
       engine_.run(engine_.now() + 20);
     if (!all_joined()) throw std::runtime_error("not all proxies could join an assigner");
     zero_ = engine_.now();
+    summary_.begin(zero_);
+    decided_before_ = decided_;
+    if (options_.sample_every > 0) engine_.after(options_.sample_every, [this] { sample(); });
     say(fmt::format("traffic begins: {:.0f} requests/s, {} proxies, {} servers, {} assigners", day_.rate,
                     proxies_.size(), servers_.size(), day_.assigners.size()));
     for (std::uint32_t z = 0; z < localities(); ++z) next_arrival(z);
@@ -121,7 +130,7 @@
   struct AssignerRun {
     std::uint32_t instance = 0, locality = 0;
     assigner::Site site;
-    std::unique_ptr<Core> core;  // none while it is dead
+    std::unique_ptr<Host> host;  // none while it is dead
     std::uint64_t epoch = 0, life = 0, watch = 0;
     bool watching = false, turn_due = false;
     std::uint64_t timer = 0;
@@ -151,7 +160,10 @@
   };
 
   std::size_t localities() const { return day_.policy.localities.size(); }
-  void note(Seen seen) { taps_.note(engine_.now(), std::move(seen)); }
+  void note(const Seen& seen) {
+    summary_.see(engine_.now(), seen);
+    watch_.see(engine_.now(), seen);
+  }
   double wall() const { return kWall + engine_.now() - kStart; }
   bool all_joined() const {
     return !proxies_.empty() &&
@@ -208,6 +220,7 @@
     p.model.reset();
     ++p.life;
     p.gone_at = engine_.now();
+    fronts_[p.locality].until = 0;
     note(ProxyDown{p.number});
     // Its connections break: clients learn of it, servers do not care.
     auto out = std::exchange(at_proxy_[k], {});
@@ -221,8 +234,8 @@
     list_down_ = down;
     if (!down) return;
     for (auto& [instance, a] : assigners_)
-      if (a.core && std::exchange(a.watching, false)) {
-        a.core->list_lost("the watch broke", engine_.now());
+      if (a.host && std::exchange(a.watching, false)) {
+        a.host->list_lost("the watch broke", engine_.now());
         soon(a);
       }
   }
@@ -245,7 +258,7 @@
     ServerRun& s = servers_.back();
     s.model = std::make_unique<ServerModel>(spec, pod, day::longest_window(day_), day_.seed * 1000 + number);
     s.id = spec.id, s.locality = spec.locality, s.cell = spec.cell, s.size = spec.listed_size();
-    s.address = {(127u << 24 | (16 + group.locality) << 16) + 512 + number, 8000};
+    s.address = {((kFirstNet + group.locality) << 24) + number, 8000};
     by_id_[s.id] = servers_.size() - 1;
     if (cold) return start_cold(servers_.size() - 1);
     start_server(servers_.size() - 1, false);
@@ -336,7 +349,7 @@
   // ---- The list ----
   void tell(AssignerRun& a, const std::vector<Listing>& entries, bool total) {
     for (const Listing& l : entries) note(ListTold{a.instance, l.id, l.locality, l.state, l.started});
-    a.core->list_line(standin::list_json(total, list_version_, entries, day_.policy.localities),
+    a.host->list_line(standin::list_json(total, list_version_, entries, day_.policy.localities),
                       engine_.now(), wall());
     soon(a);
   }
@@ -344,13 +357,13 @@
     shown_[l.id] = l;
     ++list_version_;
     for (auto& [instance, a] : assigners_)
-      if (a.core && a.watching) tell(a, {l}, false);
+      if (a.host && a.watching) tell(a, {l}, false);
   }
   void whole_list(std::uint32_t instance, std::uint64_t life, bool watch, std::uint64_t number) {
     AssignerRun& a = assigners_.at(instance);
-    if (!a.core || a.life != life || (watch && a.watch != number)) return;
+    if (!a.host || a.life != life || (watch && a.watch != number)) return;
     if (list_down_) {
-      a.core->list_lost("refused", engine_.now());
+      a.host->list_lost("refused", engine_.now());
       return soon(a);
     }
     if (watch) a.watching = true;
@@ -386,21 +399,29 @@
     }
     ++a.life;
     a.watching = a.turn_due = false;
-    std::optional<assigner::EndpointBook> warm;
-    if (!a.warm.empty()) warm = assigner::EndpointBook::from_bytes(a.warm);
-    a.core = std::make_unique<Core>(a.site, ++a.epoch, std::move(warm), engine_.now(), wall());
-    if (!options_.sabotage.empty()) a.core->set_between(audit::sabotage(options_.sabotage, a.site));
+    assigner::Between between;
+    if (!options_.sabotage.empty()) between = audit::sabotage(options_.sabotage, a.site);
+    a.host = make_host(options_.policy, a.site, ++a.epoch, a.warm, engine_.now(), wall(), std::move(between));
     soon(a);
   }
   void kill_assigner(std::uint32_t instance) override {
     AssignerRun& a = assigners_.at(instance);
-    a.core.reset();
+    a.host.reset();
     ++a.life;
     note(AssignerDown{instance});
     for (auto& [stream, k] : std::exchange(a.streams, {}))
       if (proxies_[k].open && proxies_[k].stream == stream && !way(k).cut)
         engine_.after(kHop, [this, k = k, stream = stream] { lost(k, stream); });
   }
+  // Real time in the hosts, where a clock is given.
+  template <typename Work>
+  void measured(const Work& work) {
+    if (!options_.clock) return work();
+    Ms begun = options_.clock();
+    work();
+    Ms took = options_.clock() - begun;
+    decided_ += took, longest_ = std::max(longest_, took);
+  }
   void soon(AssignerRun& a) {
     if (std::exchange(a.turn_due, true)) return;
     engine_.after(0, [this, instance = a.instance, life = a.life] {
@@ -410,10 +431,10 @@
   }
   void turn(AssignerRun& a) {
     a.turn_due = false;
-    a.core->turn(engine_.now());
-    for (assigner::Effect& e : a.core->take_effects()) std::visit([&](auto& x) { carry_out(a, x); }, e);
+    measured([&] { a.host->turn(engine_.now()); });
+    for (assigner::Effect& e : a.host->take_effects()) std::visit([&](auto& x) { carry_out(a, x); }, e);
     std::uint64_t mine = ++a.timer;
-    engine_.at(a.core->next_due(), [this, instance = a.instance, life = a.life, mine] {
+    engine_.at(a.host->next_due(), [this, instance = a.instance, life = a.life, mine] {
       AssignerRun& x = assigners_.at(instance);
       if (x.life == life && x.timer == mine) soon(x);
     });
@@ -444,7 +465,7 @@
                     Outcome outcome, LoadReport load) {
       AssignerRun& x = assigners_.at(i);
       if (x.life != life) return;
-      x.core->probe_answered(id, outcome, engine_.now() - asked, std::move(load), engine_.now());
+      x.host->probe_answered(id, outcome, engine_.now() - asked, std::move(load), engine_.now());
       soon(x);
     };
     Ms most = a.site.probe_timeout;
@@ -459,7 +480,7 @@
       else told(Outcome::dropped, {});
     });
   }
-  void carry_out(AssignerRun& a, assigner::SaveList&) { a.warm = a.core->list_bytes(); }
+  void carry_out(AssignerRun& a, assigner::SaveList&) { a.warm = a.host->list_bytes(); }
   void carry_out(AssignerRun& a, assigner::AppendRecord& e) { a.record += e.bytes; }
   void carry_out(AssignerRun&, assigner::DialPeer&) {}  // the policy sends its peers nothing
   void carry_out(AssignerRun&, assigner::LogLine&) {}
@@ -476,8 +497,10 @@
     for (bool own : {true, false})
       for (auto& [instance, z] : day_.assigners)
         if ((z == p.locality) == own) p.assigners.push_back(instance);
-    p.front = {(127u << 24 | (16 + p.locality) << 16) + 40000 + p.number, 9000};
+    day::share_assigners(p.assigners, own_assigners(p.locality), p.number);
+    p.front = {((kFirstNet + p.locality) << 24) + kFirstFront + p.number, 9000};
     p.gone_at = -1;
+    fronts_[p.locality].until = 0;
     ++p.incarnation, ++p.life;
     p.attempt = p.failures = 0, p.choice = 0, p.epoch = p.applied = 0;
     p.heartbeat = p.period = 500;
@@ -487,6 +510,10 @@
     beat(k, p.life);
     report(k, p.life);
   }
+  std::size_t own_assigners(std::uint32_t z) const {
+    return static_cast<std::size_t>(
+        std::count_if(day_.assigners.begin(), day_.assigners.end(), [&](auto& a) { return a.second == z; }));
+  }
   AssignerRun& chosen(const ProxyRun& p) { return assigners_.at(p.assigners[p.choice]); }
   Links::Way way(std::size_t k) { return links_.at(proxies_[k].locality, chosen(proxies_[k]).locality); }
 
@@ -509,10 +536,10 @@
       ProxyRun& x = proxies_[k];
       if (x.life != life || x.stream_number != number) return;
       AssignerRun& a = chosen(x);
-      if (!a.core) return redial(k);
+      if (!a.host) return redial(k);
       x.open = true;
       a.streams[stream] = k;
-      a.core->stream_opened(stream, x.front, engine_.now());
+      a.host->stream_opened(stream, x.front, engine_.now());
       soon(a);
       x.model->stream_begins();
       send(k, channel::Hello{
@@ -532,8 +559,8 @@
     ++p.stream_number;
     if (std::exchange(p.open, false)) {
       AssignerRun& a = chosen(p);
-      if (a.core && !way(k).cut && a.streams.erase(p.stream) > 0) {
-        a.core->stream_closed(p.stream, reason, engine_.now());
+      if (a.host && !way(k).cut && a.streams.erase(p.stream) > 0) {
+        a.host->stream_closed(p.stream, reason, engine_.now());
         soon(a);
       }
     }
@@ -567,8 +594,8 @@
     engine_.after(kHop, [this, i = chosen(proxies_[k]).instance, stream = proxies_[k].stream,
                          bytes = std::move(bytes)] {
       AssignerRun& a = assigners_.at(i);
-      if (!a.core || !a.streams.contains(stream)) return;
-      a.core->stream_bytes(stream, bytes, engine_.now());
+      if (!a.host || !a.streams.contains(stream)) return;
+      measured([&] { a.host->stream_bytes(stream, bytes, engine_.now()); });
       soon(a);
     });
   }
@@ -590,7 +617,7 @@
     for (std::string& bytes : std::exchange(p.held_down, {})) deliver(k, p.stream, bytes);
     // An assigner that has died or given up meanwhile is noticed now.
     AssignerRun& a = chosen(p);
-    if (!a.core || !a.streams.contains(p.stream))
+    if (!a.host || !a.streams.contains(p.stream))
       engine_.after(kHop, [this, k, stream = p.stream] { lost(k, stream); });
   }
   void came(std::size_t k, const std::string& bytes) {
@@ -709,32 +736,40 @@
     });
   }
   void new_request(std::uint32_t z) {
-    std::vector<double> shares;
-    for (const TrafficClass& c : day_.classes) shares.push_back(c.share);
     auto a = std::make_shared<Asked>();
     a->c = static_cast<std::uint16_t>(
-        std::discrete_distribution<std::size_t>(shares.begin(), shares.end())(traffic_random_));
+        std::discrete_distribution<std::size_t>(shares_.begin(), shares_.end())(traffic_random_));
     const TrafficClass& c = day_.classes[a->c];
     a->locality = z, a->begun = engine_.now();
     a->work = c.work * (0.5 + std::exponential_distribution<double>(2)(traffic_random_));
     if (c.keyed) a->key = std::to_string(next_request_);
     ask(a);
   }
+  // The proxies that clients of a locality ask: those that live, and the dead for as long as nobody noticed.
+  const std::vector<std::size_t>& fronts_of(std::uint32_t z) {
+    Fronts& f = fronts_[z];
+    if (engine_.now() < f.until) return f.proxies;
+    f.proxies.clear();
+    f.until = base::kNever;
+    for (std::size_t k = 0; k < proxies_.size(); ++k) {
+      const ProxyRun& p = proxies_[k];
+      if (p.locality != z) continue;
+      bool unnoticed = !p.model && engine_.now() - p.gone_at < day_.front_notice;
+      if (unnoticed) f.until = std::min(f.until, p.gone_at + day_.front_notice);
+      if (p.model || unnoticed) f.proxies.push_back(k);
+    }
+    return f.proxies;
+  }
   void ask(const std::shared_ptr<Asked>& a) {
     const TrafficClass& c = day_.classes[a->c];
     auto finish = [this, a](bool good) { note(Answered{a->c, a->locality, good, engine_.now() - a->begun}); };
     Ms left = a->begun + c.deadline - engine_.now();
-    std::vector<std::size_t> fronts;
-    for (std::size_t k = 0; k < proxies_.size(); ++k) {
-      const ProxyRun& p = proxies_[k];
-      if (p.locality == a->locality && (p.model || engine_.now() - p.gone_at < day_.front_notice))
-        fronts.push_back(k);
-    }
+    const std::vector<std::size_t>& fronts = fronts_of(a->locality);
     if (fronts.empty() || left <= 0) return finish(false);
     ++a->tries;
     auto r = std::make_shared<Request>();
     r->request = next_request_++, r->c = a->c, r->work = a->work, r->key = a->key;
-    r->proxy = fronts[turns_[a->locality]++ % fronts.size()];
+    r->proxy = fronts[fronts_[a->locality].turn++ % fronts.size()];
     r->life = proxies_[r->proxy].life;
     r->done = [this, a, finish](Reply how) {
       if (how == Reply::good) return finish(true);
@@ -754,48 +789,48 @@
     });
   }
 
-  // ---- The end ----
-  Emulated result() {
-    Emulated out;
-    out.verdict = audit::judge(taps_.entries, day_.limits);
-    for (audit::Break& b : out.verdict.breaks) b.at -= zero_;
-    double asked = 0, served = 0, took = 0, good = 0;
-    base::Encoder all;
-    for (auto& [at, seen] : taps_.entries) {
-      all(at, static_cast<std::uint8_t>(seen.index()));
-      if (auto* t = std::get_if<TrySent>(&seen)) all(t->proxy, t->endpoint, t->request), ++out.tries;
-      if (auto* o = std::get_if<OrdersCame>(&seen)) {
-        all(o->proxy, o->message.sequence, o->message.decided_at_ms, o->message.lines), ++out.messages;
-      }
-      if (auto* refused = std::get_if<Refused>(&seen))
-        out.refused.push_back(fmt::format("proxy {}: {}", refused->proxy, refused->reason));
-      if (auto* down = std::get_if<ServerDown>(&seen)) out.fell_over += down->fell_over;
-      auto* a = std::get_if<Answered>(&seen);
-      if (!a) continue;
-      all(a->good, a->took);
-      const RequestClass& rules = day_.policy.classes[a->request_class];
-      ++out.asked;
-      asked += rules.worth, served += a->good && a->took <= rules.slo.count() ? rules.worth : 0;
-      if (a->good) took += a->took, ++good;
+  // ---- What is seen ----
+  void sample() {
+    if (ended_) return;
+    Sample x = summary_.sample(engine_.now());
+    for (auto& [instance, a] : assigners_) {
+      if (!a.host) continue;
+      x[Series::waiting] += a.host->waiting_lines();
+      out_.most_waiting = std::max(out_.most_waiting, a.host->waiting_lines());
+      out_.oldest_report = std::max(out_.oldest_report, a.host->oldest_report(engine_.now()));
     }
-    out.service = asked > 0 ? served / asked : 1;
-    out.mean_took = good > 0 ? took / good : 0;
-    out.events = engine_.events();
-    out.fingerprint = XXH3_64bits(all.bytes().data(), all.bytes().size());
+    for (const ServerRun& s : servers_)
+      if (s.up()) ++x[Series::servers], x[Series::queued] += static_cast<double>(s.model->queued());
+    for (const ProxyRun& p : proxies_) x[Series::streams] += p.joined;
+    x[Series::deciding] =
+        (decided_ - std::exchange(decided_before_, decided_)) / options_.sample_every * 1000;
+    out_.deciding += x[Series::deciding] * options_.sample_every / 1000;
+    out_.samples.push_back(x);
+    engine_.after(options_.sample_every, [this] { sample(); });
+  }
+  Emulated result() {
+    static_cast<Totals&>(out_) = summary_.totals();
+    out_.verdict = watch_.finish();
+    for (audit::Break& b : out_.verdict.breaks) b.at -= zero_;
+    out_.events = engine_.events();
+    out_.longest_decision = longest_;
     if (options_.replay)
       for (auto& [instance, a] : assigners_)
         if (auto replay = record::replay(a.record); !replay.same())
-          out.differences.push_back(fmt::format("assigner {}: {}", instance, replay.difference));
-    return out;
+          out_.differences.push_back(fmt::format("assigner {}: {}", instance, replay.difference));
+    return std::move(out_);
   }
 
-  const day::Day& day_;
+  day::Day day_;
   const EmulateOptions& options_;
   Engine engine_;
   pcg32 random_, traffic_random_;
   net::PrefixMap prefixes_;
   Links links_;
-  Taps taps_;
+  audit::Watch watch_;
+  Summary summary_;
+  Emulated out_;
+  Ms decided_ = 0, decided_before_ = 0, longest_ = 0;  // real
   std::map<std::pair<std::uint32_t, std::uint32_t>, std::shared_ptr<Pod>> pods_;
   std::deque<ServerRun> servers_;
   std::map<std::uint32_t, std::size_t> by_id_;
@@ -808,7 +843,13 @@
   bool list_down_ = false, ended_ = false;
   Ms list_stale_ = 0, zero_ = 0;
   std::vector<double> rate_factor_;
-  std::vector<std::size_t> turns_;
+  struct Fronts {
+    std::vector<std::size_t> proxies;
+    Ms until = 0;  // they may be others from then on
+    std::size_t turn = 0;
+  };
+  std::vector<Fronts> fronts_;  // by locality
+  std::vector<double> shares_;  // of the classes
   day::Script script_{*this, day_, random_};
 };
 
--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -9,26 +9,31 @@
 
 #include "audit/rules.h"
 #include "day/day.h"
+#include "emulator/host.h"
+#include "emulator/summary.h"
 
 namespace beamshunt::emulator {
 
 using base::Ms;
 
 struct EmulateOptions {
-  std::string sabotage;                         // as of audit::sabotage; empty: none
-  bool replay = false;                          // keep the flight records and play them again
-  std::function<void(const std::string&)> say;  // what happens, as it happens in simulated time
+  std::string sabotage{};                         // as of audit::sabotage; empty: none
+  bool replay = false;                            // keep the flight records and play them again
+  std::function<void(const std::string&)> say{};  // what happens, as it happens in simulated time
+  Policy policy = Policy::module;                 // a baseline in the module's place
+  Ms sample_every = 0;                            // simulated time between samples; 0: none are taken
+  std::function<Ms()> clock{};  // of the machine, to measure the hosts with; decides nothing
 };
 
-struct Emulated {
+struct Emulated : Totals {
   audit::Verdict verdict;
-  double service = 1;  // worth answered in time over worth asked for
-  std::size_t asked = 0, tries = 0, messages = 0, fell_over = 0;
-  Ms mean_took = 0;                      // of the good answers
   std::uint64_t events = 0;              // of the engine
-  std::uint64_t fingerprint = 0;         // of all that passed: equal days have equal ones
-  std::vector<std::string> refused;      // streams of proxies that are said to have broken the protocol
   std::vector<std::string> differences;  // flight records that decide otherwise
+  std::vector<Sample> samples;
+  double most_waiting = 0;  // lines, at any sample
+  Ms oldest_report = 0;     // waiting in an assigner's intake, at any sample
+  Ms deciding = 0;          // real time, in all hosts together, since the traffic began
+  Ms longest_decision = 0;  // real time of one turn
 };
 
 // Throws std::runtime_error where the day can't be played.
--- /dev/null
+++ b/src/emulator/host.cpp
@@ -0,0 +1,195 @@
+#include "emulator/host.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+
+namespace beamshunt::emulator {
+namespace {
+
+using assigner::StreamId;
+
+class CoreHost final : public Host {
+ public:
+  CoreHost(const assigner::Site& site, std::uint64_t epoch, std::optional<assigner::EndpointBook> warm,
+           Ms now, double wall_now, assigner::Between between)
+      : core_(site, epoch, std::move(warm), now, wall_now) {
+    core_.set_between(std::move(between));
+  }
+  void stream_opened(StreamId s, net::Address peer, Ms now) override { core_.stream_opened(s, peer, now); }
+  void stream_bytes(StreamId s, std::string_view bytes, Ms now) override {
+    core_.stream_bytes(s, bytes, now);
+  }
+  void stream_closed(StreamId s, const std::string& why, Ms now) override {
+    core_.stream_closed(s, why, now);
+  }
+  void list_line(std::string_view json, Ms now, double wall) override { core_.list_line(json, now, wall); }
+  void list_lost(const std::string& reason, Ms now) override { core_.list_lost(reason, now); }
+  void probe_answered(EndpointId e, Outcome o, Ms took, LoadReport load, Ms now) override {
+    core_.probe_answered(e, o, took, std::move(load), now);
+  }
+  void turn(Ms now) override { core_.turn(now); }
+  Ms next_due() const override { return core_.next_due(); }
+  std::vector<assigner::Effect> take_effects() override { return core_.take_effects(); }
+  std::string list_bytes() const override { return core_.list_bytes(); }
+  double waiting_lines() const override { return core_.waiting_lines(); }
+  Ms oldest_report(Ms now) const override { return core_.oldest_report(now); }
+
+ private:
+  assigner::Core core_;
+};
+
+class PlainHost final : public Host {
+ public:
+  PlainHost(const assigner::Site& site, std::uint64_t epoch, std::optional<assigner::EndpointBook> warm,
+            Ms now, bool by_size)
+      : site_(site), epoch_(epoch), by_size_(by_size), ask_at_(now) {
+    if (warm) book_ = std::move(*warm);
+    for (std::size_t c = 0; c < site_.policy.classes.size(); ++c)
+      classes_[site_.policy.classes[c].home_only] |= std::uint64_t{1} << c;
+  }
+  void stream_opened(StreamId s, net::Address, Ms) override { streams_[s]; }
+  void stream_bytes(StreamId s, std::string_view bytes, Ms now) override {
+    auto found = streams_.find(s);
+    if (found == streams_.end()) return;
+    std::vector<channel::Frame> frames;
+    found->second.parser.feed(bytes, frames);
+    for (const channel::Frame& f : frames) {
+      if (auto* hello = std::get_if<channel::Hello>(&f)) welcome(found->first, found->second, *hello, now);
+      else if (auto* ping = std::get_if<channel::Ping>(&f)) send(s, channel::Pong{ping->token});
+    }
+  }
+  void stream_closed(StreamId s, const std::string&, Ms) override { streams_.erase(s); }
+  void list_line(std::string_view json, Ms now, double) override {
+    book_.apply(assigner::parse_list(json, site_.policy.localities));
+    ask_at_ = base::kNever;
+    effects_.emplace_back(assigner::SaveList{});
+    for (auto& [id, stream] : streams_)
+      if (stream.joined) tell(id, stream, now, {});
+  }
+  void list_lost(const std::string&, Ms now) override { ask_at_ = now + kAskAgain; }
+  void probe_answered(EndpointId, Outcome, Ms, LoadReport, Ms) override {}
+  void turn(Ms now) override {
+    if (now < ask_at_) return;
+    ask_at_ = now + kAskAgain;
+    effects_.emplace_back(assigner::OpenWatch{});
+  }
+  Ms next_due() const override { return ask_at_; }
+  std::vector<assigner::Effect> take_effects() override { return std::exchange(effects_, {}); }
+  std::string list_bytes() const override { return book_.to_bytes(); }
+  double waiting_lines() const override { return 0; }
+  Ms oldest_report(Ms) const override { return 0; }
+
+ private:
+  static constexpr Ms kAskAgain = 1000;
+  using Lines = std::map<std::uint32_t, double>;
+  struct Stream {
+    channel::FrameParser parser;
+    std::uint32_t locality = 0;
+    bool joined = false;
+    std::uint64_t sequence = 0;
+    std::array<Lines, 2> sent;  // of the classes that may leave the locality, of those that may not
+  };
+
+  void send(StreamId s, const channel::Frame& frame) {
+    effects_.push_back(assigner::SendBytes{s, std::make_shared<const std::string>(channel::encode(frame))});
+  }
+  void welcome(StreamId id, Stream& s, const channel::Hello& hello, Ms now) {
+    auto& names = site_.policy.localities;
+    auto found = std::find(names.begin(), names.end(), hello.locality);
+    if (found == names.end())
+      return send(id, channel::Refuse{channel::RefuseCode::bad_locality, 0, "no such locality"});
+    s.locality = static_cast<std::uint32_t>(found - names.begin());
+    s.joined = true;
+    send(id, channel::Welcome{.epoch = epoch_,
+                              .heartbeat_ms = site_.heartbeat,
+                              .report_period_ms = site_.policy.period.count()});
+    std::vector<channel::Order> orders;
+    for (std::uint32_t t : {0u, 1u})
+      if (classes_[t] != 0) orders.push_back(channel::BindOrder{classes_[t], t});
+    tell(id, s, now, std::move(orders));
+  }
+  Lines wanted(std::uint32_t locality, bool home) const {
+    Lines here, all;
+    for (const assigner::ListEntry& e : book_.all()) {
+      if (e.state != EndpointState::in_service) continue;
+      double weight = by_size_ ? e.size : 1;
+      all[e.id] = weight;
+      if (e.locality == locality) here[e.id] = weight;
+    }
+    return home || !here.empty() ? here : all;
+  }
+  void tell(StreamId id, Stream& s, Ms now, std::vector<channel::Order> orders) {
+    for (std::uint32_t t : {0u, 1u}) {
+      if (classes_[t] == 0) continue;
+      Lines want = wanted(s.locality, t == 1);
+      for (auto& [endpoint, weight] : s.sent[t])
+        if (!want.contains(endpoint)) orders.push_back(channel::LineOrder{t, endpoint, 0});
+      for (auto& [endpoint, weight] : want) {
+        auto had = s.sent[t].find(endpoint);
+        if (had != s.sent[t].end() && had->second == weight) continue;
+        const assigner::ListEntry& e = *book_.find(endpoint);
+        orders.push_back(channel::LineOrder{t, endpoint, weight, static_cast<std::uint16_t>(e.locality),
+                                            e.cell, e.address.ip, e.address.port});
+      }
+      s.sent[t] = std::move(want);
+    }
+    if (orders.empty()) return;
+    auto lines = static_cast<double>(orders.size());
+    send(id, channel::Orders{++s.sequence, now, lines, std::move(orders)});
+  }
+
+  const assigner::Site& site_;
+  std::uint64_t epoch_;
+  bool by_size_;
+  Ms ask_at_;
+  std::array<std::uint64_t, 2> classes_{};
+  assigner::EndpointBook book_;
+  std::map<StreamId, Stream> streams_;
+  std::vector<assigner::Effect> effects_;
+};
+
+constexpr std::pair<Policy, const char*> kNames[] = {{Policy::module, "module"},
+                                                     {Policy::round_robin, "round-robin"},
+                                                     {Policy::static_weights, "static-weights"},
+                                                     {Policy::least_load, "least-load"},
+                                                     {Policy::two_choice, "two-choice"}};
+
+}  // namespace
+
+const char* policy_name(Policy policy) {
+  for (auto [p, name] : kNames)
+    if (p == policy) return name;
+  return "?";
+}
+std::optional<Policy> policy_named(std::string_view name) {
+  for (auto [p, text] : kNames)
+    if (name == text) return p;
+  return std::nullopt;
+}
+standin::Pick pick_of(Policy policy, standin::Pick of_the_day) {
+  switch (policy) {
+    case Policy::round_robin:
+      return standin::Pick::round;
+    case Policy::static_weights:
+      return standin::Pick::weighted;
+    case Policy::least_load:
+      return standin::Pick::least;
+    case Policy::two_choice:
+      return standin::Pick::two;
+    default:
+      return of_the_day;
+  }
+}
+
+std::unique_ptr<Host> make_host(Policy policy, const assigner::Site& site, std::uint64_t epoch,
+                                const std::string& warm, Ms now, double wall_now, assigner::Between between) {
+  std::optional<assigner::EndpointBook> held;
+  if (!warm.empty()) held = assigner::EndpointBook::from_bytes(warm);
+  if (policy == Policy::module)
+    return std::make_unique<CoreHost>(site, epoch, std::move(held), now, wall_now, std::move(between));
+  return std::make_unique<PlainHost>(site, epoch, std::move(held), now, policy == Policy::static_weights);
+}
+
+}  // namespace beamshunt::emulator
--- a/src/standin/proxy_model.cpp
+++ b/src/standin/proxy_model.cpp
@@ -1,6 +1,7 @@
 #include "standin/proxy_model.h"
 
 #include <algorithm>
+#include <limits>
 #include <random>
 
 namespace beamshunt::standin {
@@ -14,7 +15,7 @@
   auto standing = std::make_shared<Table>();
   for (const Place& p : spec_.standing) standing->lines[p.endpoint] = {1, p}, used_[p.endpoint] = p;
   by_class_.assign(spec_.classes, standing);
-  usage_.resize(spec_.classes);
+  usage_.resize(spec_.classes), last_.resize(spec_.classes);
   for (std::size_t c = 0; c < spec_.classes; ++c) usage_[c].request_class = static_cast<std::uint16_t>(c);
 }
 
@@ -111,6 +112,22 @@
       if ((at -= line->weight) < 0) return line;
     return open.back();
   };
+  if (spec_.pick == Pick::round) {
+    auto next = std::find_if(open.begin(), open.end(), [&](auto* l) { return l->place.endpoint > last_[c]; });
+    const Place& place = (next == open.end() ? open.front() : *next)->place;
+    last_[c] = place.endpoint;
+    return place;
+  }
+  if (spec_.pick == Pick::least) {  // among several with the fewest, any: proxies must not agree on one
+    int fewest = std::numeric_limits<int>::max();
+    std::vector<const Line*> idle;
+    for (auto* line : open) {
+      int n = outstanding_[line->place.endpoint];
+      if (n < fewest) idle.clear(), fewest = n;
+      if (n == fewest) idle.push_back(line);
+    }
+    return idle[random_(static_cast<std::uint32_t>(idle.size()))]->place;
+  }
   const Line* chosen = draw();
   if (spec_.pick == Pick::two) {
     const Line* other = draw();
--- a/src/standin/proxy_model.h
+++ b/src/standin/proxy_model.h
@@ -25,7 +25,7 @@
   net::Address address{};
 };
 
-enum class Pick { weighted, two };
+enum class Pick { weighted, two, round, least };  // round: in turn; least: fewest of its own outstanding
 enum class Levels { share, rate, none };
 
 struct ProxySpec {
@@ -107,6 +107,7 @@
   std::vector<Place> left_;
   std::map<std::uint32_t, Health> health_;
   std::map<std::uint32_t, int> outstanding_;
+  std::vector<std::uint32_t> last_;  // picked in turn, by class
   bool only_standing_ = true, bound_ = false;
 
   struct Tries {
--- a/src/standin/server_model.cpp
+++ b/src/standin/server_model.cpp
@@ -11,6 +11,14 @@
 
 }  // namespace
 
+bool Pod::takes_effect(const std::string& key, Ms now, Ms window) {
+  for (; !in_order_.empty() && now - in_order_.front().first > window; in_order_.pop_front())
+    done_.erase(in_order_.front().second);
+  if (!done_.emplace(key, now).second) return false;
+  in_order_.emplace_back(now, key);
+  return true;
+}
+
 void ServerModel::start(Ms now, bool cold) {
   stop();
   up_ = true, cold_ = cold, started_ = now;
@@ -75,10 +83,7 @@
     note_busy(at);
     Job job = std::move(working_.extract(working_.begin()).mapped());
     bool effect = true;
-    if (!job.key.empty()) {
-      std::erase_if(pod_->done, [&](auto& item) { return at - item.second > window_; });
-      effect = pod_->done.emplace(job.key, at).second;
-    }
+    if (!job.key.empty()) effect = pod_->takes_effect(job.key, at, window_);
     finished_.push_back({job.token, job.request, job.request_class, effect});
     begin_jobs(at);
   }
--- a/src/standin/server_model.h
+++ b/src/standin/server_model.h
@@ -28,8 +28,14 @@
 };
 
 // Servers of one cell share what they remember of keys.
-struct Pod {
-  std::map<std::string, Ms> done;  // key to when it took effect
+class Pod {
+ public:
+  // Whether a request of this key takes effect now: not if one did within the window.
+  bool takes_effect(const std::string& key, Ms now, Ms window);
+
+ private:
+  std::map<std::string, Ms> done_;                   // key to when it took effect
+  std::deque<std::pair<Ms, std::string>> in_order_;  // of the same, the oldest first
 };
 
 struct Job {
@@ -74,6 +80,7 @@
   bool fell_over() const { return fell_over_; }
   double ramp(Ms now) const;  // the part of its capacity that it has
   std::map<std::string, double> load(Ms now);
+  std::size_t queued() const { return queued_.size(); }
   const ServerSpec& spec() const { return spec_; }
 
   ServerFaults faults;
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -12,6 +12,11 @@
   for _ in $(seq 200); do grep -q "$1" "$2" 2>/dev/null && return 0; sleep 0.05; done
   fail "no '$1' in $2: $(tail -2 "$2" 2>/dev/null)"
 }
+wait_until() {  # what is wrong if a command does not succeed within ten seconds
+  local wrong=$1; shift
+  for _ in $(seq 200); do "$@" && return 0; sleep 0.05; done
+  fail "$wrong"
+}
 expect() {  # code, pattern, command...
   local code=$1 pattern=$2; shift 2
   "$@" >"$work/out" 2>&1; local got=$?
@@ -40,8 +45,7 @@
 "$program" standin proxy --address 127.211.1.1:9000 --id 3 --assigner 127.211.0.1:7000 \
   --localities north south --prefix 127.211.0.0/16 127.212.0.0/16 --locality north & pids+=($!)
 wait_for '"event":"proxy_joined","proxy":"3"' "$work/log"
-sleep 0.5
-[ -s "$work/state/list" ] || fail "no warm copy of the list"
+wait_until "no warm copy of the list" test -s "$work/state/list"
 
 # Killed at any instant, it comes up with its last list, a higher epoch and a record that can go on.
 for round in 1 2 3; do
