--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
@@ -20,6 +21,8 @@
 #include "day/player.h"
 #include "emulator/emulator.h"
 #include "emulator/swarm.h"
+#include "experiment/report.h"
+#include "experiment/runner.h"
 #include "gate/gate.h"
 #include "measure/measure.h"
 #include "record/record.h"
@@ -397,6 +400,61 @@
   return print_kept(r.verdict) && r.differences.empty() && r.refused.empty() ? kWell : kBroken;
 }
 
+int experiment(const ExperimentArguments& a) {
+  experiment::Plan plan = experiment::read_plan(a.file);
+  std::filesystem::create_directories(a.to);
+  std::string base = a.to + "/" + plan.name;
+  if (a.anew) std::filesystem::remove(base + ".runs");
+  bool on_terminal = isatty(STDERR_FILENO) != 0;
+  base::Ms begun = base::monotonic_ms();
+  std::size_t first = 0, said = 0;
+  auto progress = [&](std::size_t done, std::size_t all) {
+    constexpr std::size_t kWidth = 40, kLines = 10;  // of the bar; without a terminal, a line each tenth
+    if (said++ == 0) first = done;
+    double took = base::monotonic_ms() - begun;
+    std::string left = done > first
+                           ? fmt::format(", {:.0f} s left", took / static_cast<double>(done - first) *
+                                                                static_cast<double>(all - done) / 1000)
+                           : "";
+    std::size_t full = all > 0 ? done * kWidth / all : kWidth;
+    if (on_terminal)
+      fmt::print(stderr, "\r[{:#>{}}{:.>{}}] {} of {} runs{}   ", "", full, "", kWidth - full, done, all,
+                 left);
+    else if (said == 1 || done * kLines / all != (done - 1) * kLines / all)
+      fmt::print(stderr, "{} of {} runs{}\n", done, all, left);
+  };
+  std::size_t threads = a.threads > 0 ? a.threads : std::max(1u, std::thread::hardware_concurrency());
+  experiment::Results r = experiment::run(plan, {base + ".runs", threads, progress});
+  if (on_terminal) fmt::print(stderr, "\n");
+  experiment::write_results(base + ".h5", r);
+  std::size_t broken = 0;
+  for (const experiment::Row& row : r.rows) broken += experiment::rules_broken(row);
+  fmt::print("{}.h5: {} runs; rules broken in {}\n", base, r.rows.size(), broken);
+  return kWell;
+}
+
+int plot(const ExperimentArguments& a) {
+  experiment::Results r = experiment::read_results(a.file);
+  std::filesystem::create_directories(a.to);
+  std::vector<std::string> left = a.plots;
+  for (const experiment::PlotWanted& p : experiment::plots_of(r.experiment, r.name)) {
+    if (!a.plots.empty() && std::erase(left, p.name) == 0) continue;
+    std::string path = fmt::format("{}/{}-{}.{}", a.to, r.name, p.name, a.png ? "png" : "svg");
+    base::replace_file(
+        path, experiment::picture(r, p, a.png ? experiment::Picture::png : experiment::Picture::svg));
+    fmt::print("{}\n", path);
+  }
+  if (!left.empty())
+    throw std::runtime_error("experiment " + r.name + " has no plot \"" + left.front() + "\"");
+  return kWell;
+}
+
+int report(const ExperimentArguments& a) {
+  base::replace_file(a.to, experiment::page(experiment::read_results(a.file)));
+  fmt::print("{}\n", a.to);
+  return kWell;
+}
+
 int alerts_check(const std::vector<std::string>& files) {
   std::vector<alerts::Rule> rules;
   for (const std::string& file : files)
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -42,6 +42,16 @@
 };
 int emulate(const EmulateArguments& arguments);
 
+struct ExperimentArguments {
+  std::string file, to = ".";  // experiment or results; a folder, of a report a file
+  std::size_t threads = 0;     // 0: as many as the machine has
+  bool anew = false, png = false;
+  std::vector<std::string> plots;  // by name; none: all
+};
+int experiment(const ExperimentArguments& arguments);
+int plot(const ExperimentArguments& arguments);
+int report(const ExperimentArguments& arguments);
+
 int alerts_check(const std::vector<std::string>& files);
 int alerts_test(const std::vector<std::string>& files);
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -103,6 +103,26 @@
   emulate_command->footer("Example: beamshunt emulate days/stage.cue days/bad-day.cue");
   emulate_command->callback([&] { result = emulate(e); });
 
+  ExperimentArguments x;
+  auto* experiment_command =
+      app.add_subcommand("experiment", "sweep a day's settings and policies over seeds, in simulated time");
+  experiment_command->add_option("file", x.file, "the experiment")->required();
+  experiment_command->add_option("--out", x.to, "folder for the results; runs that are there stay");
+  experiment_command->add_option("--threads", x.threads, "runs side by side; all cores if not given");
+  experiment_command->add_flag("--anew", x.anew, "forget the runs that are there");
+  experiment_command->footer("Example: beamshunt experiment experiments/proxies.cue --out /tmp/proxies");
+  experiment_command->callback([&] { result = experiment(x); });
+  auto* plot_command = app.add_subcommand("plot", "draw the plots that an experiment asks for");
+  plot_command->add_option("file", x.file, "results, NAME.h5")->required();
+  plot_command->add_option("--plot", x.plots, "only these, by name");
+  plot_command->add_option("--out", x.to, "folder for the pictures");
+  plot_command->add_flag("--png", x.png, "PNG instead of SVG");
+  plot_command->callback([&] { result = plot(x); });
+  auto* report_command = app.add_subcommand("report", "one page with an experiment's plots and figures");
+  report_command->add_option("file", x.file, "results, NAME.h5")->required();
+  report_command->add_option("--out", x.to, "the page, an HTML file")->required();
+  report_command->callback([&] { result = report(x); });
+
   auto* alerts = app.add_subcommand("alerts", "alert rules, without a server for them");
   alerts->require_subcommand(1);
   auto* alerts_check_command = alerts->add_subcommand("check", "hold rules against what the program exports");
--- a/src/day/day.cpp
+++ b/src/day/day.cpp
@@ -205,8 +205,8 @@
   return kSchema;
 }
 
-Day load_day(const std::vector<config::Source>& sources) {
-  Tree tree = config::load(schema(), "#Day", sources);
+Day load_day(const std::vector<config::Source>& sources, const std::vector<config::Source>& over) {
+  Tree tree = config::load(schema(), "#Day", sources, over);
   return Reader(tree).read();
 }
 
--- a/src/day/day.h
+++ b/src/day/day.h
@@ -61,7 +61,7 @@
 };
 
 const config::Source& schema();  // "#Day" its root
-// Throws config::ConfigError.
-Day load_day(const std::vector<config::Source>& sources);
+// `over` takes the place of what the sources give. Throws config::ConfigError.
+Day load_day(const std::vector<config::Source>& sources, const std::vector<config::Source>& over = {});
 
 }  // namespace beamshunt::day
