Module: a joining proxy looks at no endpoint and no part; settings over others in pieces

The emulator at 10,000 servers and 100,000 proxies showed turns of a minute while proxies join: each new table asked all endpoints for its lines and sorted them, each proxy looked at all parts of its band. Wanted lines and orders of dealing are kept until demand or the list changes, parts by their load.

config: a field that a source gives in several pieces over another's now replaces all of them (the last piece alone did).

--- a/src/config/value.cpp
+++ b/src/config/value.cpp
@@ -574,20 +574,20 @@
   for (auto& [name, field] : tree.fields) add_paths(field, joined(path, name), out);
 }
 
-// `below` without the fields that `above` gives. Definitions stay: they give nothing by themselves.
+// `below` without the fields that `above` gives, which may give one in several pieces. Definitions stay: they
+// give nothing by themselves.
 NodePtr without(const NodePtr& below, const Node& above) {
   auto out = std::make_shared<Node>(*below);
-  out->fields.clear();
-  for (const FieldNode& f : below->fields) {
-    const FieldNode* over = nullptr;
-    for (const FieldNode& g : above.fields)
-      if (g.name == f.name) over = &g;
-    if (!over || f.name.starts_with("#")) {
-      out->fields.push_back(f);
-    } else if (over->value->kind == Node::Kind::structure && f.value->kind == Node::Kind::structure) {
-      out->fields.push_back(f);
-      out->fields.back().value = without(f.value, *over->value);
+  for (const FieldNode& over : above.fields) {
+    if (over.name.starts_with("#")) continue;
+    std::vector<FieldNode> kept;
+    for (FieldNode& f : out->fields) {
+      bool both = over.value->kind == Node::Kind::structure && f.value->kind == Node::Kind::structure;
+      if (f.name == over.name && !both) continue;
+      if (f.name == over.name) f.value = without(f.value, *over.value);
+      kept.push_back(std::move(f));
     }
+    out->fields = std::move(kept);
   }
   return out;
 }
--- a/src/day/day.cpp
+++ b/src/day/day.cpp
@@ -1,7 +1,10 @@
 #include "day/day.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace beamshunt::day {
 namespace {
@@ -30,7 +33,11 @@
   length: duration & >0s
   heartbeat: duration & >=10ms | *200ms
   calm: duration & >0s | *1500ms // all starts and joins, before the traffic begins
-  assigners: [...{ instance: int & >=0 & <1000 | *0, locality: string }]
+  assigners: [...{
+    instance: int & >=0 & <1000 | *0
+    locality: string
+    count: int & >0 & <=100 | *1 // instances from this one on
+  }]
   servers: [...{
     locality: string
     count: int & >0 & <=100000
@@ -134,8 +141,14 @@
   }
 
   void read_fleet() {
+    std::set<std::uint32_t> instances;
     for (const Tree& a : tree_.at("assigners").items)
-      day_.assigners.emplace_back(a.whole("instance"), locality(a.at("locality"), "assigners.locality"));
+      for (int k = 0; k < a.whole("count"); ++k) {
+        auto instance = static_cast<std::uint32_t>(a.whole("instance") + k);
+        if (!instances.insert(instance).second)
+          refuse(a, "assigners.instance", fmt::format("{} is there twice", instance));
+        day_.assigners.emplace_back(instance, locality(a.at("locality"), "assigners.locality"));
+      }
     if (day_.assigners.empty()) refuse(tree_.at("assigners"), "assigners", "at least one is needed");
     for (const Tree& s : tree_.at("servers").items)
       day_.servers.push_back({locality(s.at("locality"), "servers.locality"),
--- a/src/day/player.cpp
+++ b/src/day/player.cpp
@@ -280,7 +280,7 @@
   void start_proxy(ProxyRun& run) {
     std::uint32_t id = run.number;
     ProxySpec spec = proxy_spec(day_, run.locality, id);
-    spec.standing = standing_table(day_, run.locality, list_->all(), random_);
+    spec.standing = standing_table(standing_pool(run.locality, list_->all()), day_.standing, random_);
     ProxyOptions o;
     run.front = o.front = {addresses_.ip(run.locality, 1, id + 1), kFrontPort};
     for (auto& [instance, z] : day_.assigners) o.assigners.push_back({instance, z, channel_of(instance)});
--- a/src/day/script.cpp
+++ b/src/day/script.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <map>
 #include <random>
+#include <set>
 
 namespace beamshunt::day {
 
@@ -52,8 +53,7 @@
   return window;
 }
 
-std::vector<Place> standing_table(const Day& day, std::uint32_t locality, const std::vector<Listing>& shown,
-                                  pcg32& random) {
+std::vector<Place> standing_pool(std::uint32_t locality, const std::vector<Listing>& shown) {
   constexpr std::size_t kEnough = 3;
   std::vector<Place> local, all;
   for (const Listing& l : shown) {
@@ -62,10 +62,18 @@
     all.push_back(p);
     if (l.locality == locality) local.push_back(p);
   }
-  std::vector<Place>& from = local.size() >= kEnough ? local : all;
-  std::shuffle(from.begin(), from.end(), random);
-  from.resize(std::min(from.size(), day.standing));
-  return from;
+  return local.size() >= kEnough ? local : all;
+}
+
+std::vector<Place> standing_table(const std::vector<Place>& pool, std::size_t count, pcg32& random) {
+  std::vector<Place> out;
+  std::set<std::size_t> drawn;  // Floyd's way: a few of many without a look at all of them
+  for (std::size_t k = pool.size() - std::min(count, pool.size()); k < pool.size(); ++k) {
+    std::size_t at = random(static_cast<std::uint32_t>(k + 1));
+    if (!drawn.insert(at).second) drawn.insert(at = k);
+    out.push_back(pool[at]);
+  }
+  return out;
 }
 
 void Script::begin() {
--- a/src/day/script.h
+++ b/src/day/script.h
@@ -62,9 +62,10 @@
 
 // How long a server of the day remembers keys.
 Ms longest_window(const Day& day);
-// What a proxy stands on as it starts: some of the open servers, of its own locality if there are enough.
-std::vector<standin::Place> standing_table(const Day& day, std::uint32_t locality,
-                                           const std::vector<standin::Listing>& shown, pcg32& random);
+// What proxies may stand on as they start: the open servers of their locality, or all if it has too few.
+std::vector<standin::Place> standing_pool(std::uint32_t locality, const std::vector<standin::Listing>& shown);
+std::vector<standin::Place> standing_table(const std::vector<standin::Place>& pool, std::size_t count,
+                                           pcg32& random);
 
 // A proxy's assigners in the order that it dials them: its locality's own `own` ones come first, and proxies
 // share them by their number.
--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -355,6 +355,7 @@
   }
   void show(const Listing& l) {
     shown_[l.id] = l;
+    standing_pools_.clear();
     ++list_version_;
     for (auto& [instance, a] : assigners_)
       if (a.host && a.watching) tell(a, {l}, false);
@@ -489,7 +490,9 @@
   void start_proxy(std::size_t k) override {
     ProxyRun& p = proxies_[k];
     ProxySpec spec = day::proxy_spec(day_, p.locality, p.number);
-    spec.standing = day::standing_table(day_, p.locality, shown(), random_);
+    auto [pool, fresh] = standing_pools_.try_emplace(p.locality);
+    if (fresh) pool->second = day::standing_pool(p.locality, shown());
+    spec.standing = day::standing_table(pool->second, day_.standing, random_);
     ProxyStanding standing{p.number, p.locality, {}};
     for (const Place& place : spec.standing) standing.endpoints.push_back(place.endpoint);
     p.model = std::make_unique<ProxyModel>(std::move(spec));
@@ -838,6 +841,7 @@
   std::map<std::size_t, std::vector<std::weak_ptr<Request>>> at_proxy_;
   std::map<std::uint32_t, AssignerRun> assigners_;
   std::map<std::uint32_t, Listing> shown_;
+  std::map<std::uint32_t, std::vector<Place>> standing_pools_;  // by locality, of what is shown
   std::map<std::uint32_t, Ms> list_at_;
   std::uint64_t list_version_ = 1, last_stream_ = 0, next_request_ = 1;
   bool list_down_ = false, ended_ = false;
--- a/src/experiment/chart.cpp
+++ b/src/experiment/chart.cpp
@@ -41,9 +41,9 @@
   void take(double v) {
     if (std::isfinite(v) && (!log || v > 0)) low = std::min(low, v), high = std::max(high, v);
   }
-  void settle() {
+  void settle(bool zero = true) {
     if (low > high) low = log ? 1 : 0, high = log ? 10 : 1;
-    if (!log && low > 0 && low < 0.6 * high) low = 0;  // where zero is near, it is shown
+    if (zero && !log && low > 0 && low < 0.6 * high) low = 0;  // where zero is near, it is shown
     if (high - low < 1e-9 * std::max(1.0, std::abs(high))) {
       double room = log ? 0 : std::max(0.5, std::abs(high) * 0.1);
       log ? (low /= 2, high *= 2) : (low -= room, high += room);
@@ -180,7 +180,7 @@
       xs.take(l.x[k]), ys.take(l.y[k]);
       if (!l.low.empty()) ys.take(l.low[k]), ys.take(l.high[k]);
     }
-  xs.settle(), ys.settle();
+  xs.settle(false), ys.settle();
   Canvas c(as);
   frame(c, chart.title, chart.x, xs, chart.y, ys);
   cairo_save(c.pen());
@@ -263,7 +263,7 @@
   ys.take(0);
   for (auto& [name, counts] : chart.counts)
     for (double n : counts) ys.take(n);
-  xs.settle(), ys.settle();
+  xs.settle(false), ys.settle();
   Canvas c(as);
   frame(c, chart.title, chart.x, xs, {"runs", false}, ys);
   for (std::size_t n = 0; n < chart.counts.size(); ++n) {
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -7,7 +7,6 @@
 #include <limits>
 #include <numeric>
 #include <set>
-#include <tuple>
 #include <utility>
 
 #include "policy/channel.h"
@@ -75,6 +74,7 @@
   std::map<EndpointId, Endpoint> endpoints;
   std::map<ProxyId, Proxy> proxies;
   std::map<GroupKey, Group> groups;
+  std::map<std::pair<Locality, int>, std::set<std::pair<double, int>>> part_loads;  // usual rate and part
   std::map<TableId, Slice> slices;
   std::vector<double> rates;  // admission rates by class, requests/s
   Demand demand{set};         // made once a period, and when proxies join
@@ -90,6 +90,7 @@
   // Of this reply: retry modes by class; the warmest of a locality's endpoints, or of all.
   std::vector<RetryMode> modes;
   std::map<std::pair<Locality, bool>, double> warmest_of;
+  std::map<std::pair<Locality, bool>, Wanted> wanted_of;  // by whether the classes must stay at home
   std::vector<Action> out;
   OrderChannel channel{set};
 
@@ -152,7 +153,11 @@
     auto p = proxies.find(e.proxy);
     if (p == proxies.end()) return;
     channel.forget(e.proxy, now);
-    if (p->second.bound) groups[p->second.group].leave(e.proxy, p->second.usual);
+    if (p->second.bound) {
+      Group& group = groups[p->second.group];
+      group.users.erase(e.proxy);
+      move_load(p->second.group, group, -p->second.usual);
+    }
     proxies.erase(p);
   }
 
@@ -171,14 +176,21 @@
       int chunks = static_cast<int>(std::min(all / std::max(1.0, std::min(warm, fits)), least));
       if (chunks > 1) first.parts = kRounds * chunks;
     }
-    for (int part = 1, parts = first.parts; part < parts; ++part) {
-      GroupKey key{p.group.locality, p.group.band, part};
-      groups[key].parts = parts;
-      if (groups[key].usual < groups[p.group].usual) p.group = key;
+    auto& loads = part_loads[{p.group.locality, p.group.band}];
+    for (int part = static_cast<int>(loads.size()); part < first.parts; ++part) {
+      groups[{p.group.locality, p.group.band, part}].parts = first.parts;
+      loads.emplace(0, part);
     }
+    p.group.part = loads.begin()->second;
     return groups[p.group];
   }
 
+  void move_load(const GroupKey& key, Group& group, double rate) {
+    auto& loads = part_loads[{key.locality, key.band}];
+    loads.erase({group.usual, key.part});
+    loads.emplace(group.usual += rate, key.part);
+  }
+
   // Once a stream, after all else of the batch: what the proxy holds is unknown, a full bind settles it. A
   // mass rejoin would overfill the channel (rule 5), so who finds no room there waits with what it holds.
   void bind_joined() {
@@ -190,14 +202,12 @@
       for (bool home : {false, true})
         if (masks[home] != 0 && !group.tables.contains(home)) group.tables[home].id = TableId(next_table++);
       p->second.bound = true;
-      group.enter(p->first, p->second.usual);
+      group.users.insert(p->first);
+      move_load(p->second.group, group, p->second.usual);
       group.let_in.resize(set.classes.size());
       for (std::size_t c = 0; c < set.classes.size(); ++c) group.let_in[c] += admitted(p->second, &group, c);
       if (group.users.size() == 1) {
-        for (auto& [home, table] : group.tables) {
-          Lines all = wanted_lines(p->second.group.locality, home);
-          table.want = dealt_lines(p->second.group, group, all, deal(p->second.group, all));
-        }
+        for (auto& [home, table] : group.tables) table.want = dealt_lines(p->second.group, group, home);
         write_group(p->second.group, group, false, kOpenRate);
       }
       for (auto& [home, table] : group.tables) {
@@ -503,40 +513,41 @@
     return lines;
   }
 
-  // In each round all endpoints of a locality are put into an order of the round's own.
-  Deal deal(const GroupKey& key, const Lines& all) const {
-    Deal order;
-    auto round = static_cast<std::uint32_t>(key.part % kRounds);
-    for (const auto& [id, w] : all)
-      order[endpoints.at(id).listed.locality].emplace_back(std::uint32_t(id) * (kGolden + 2 * round), id);
-    for (auto& [z, ids] : order) std::sort(ids.begin(), ids.end());
-    return order;
+  // What all tables of a locality share: the wanted lines and, for each round of dealing, all endpoints of a
+  // locality in an order of the round's own. Made when demand or the list has changed, and each period.
+  const Wanted& wanted(Locality own, bool home) {
+    auto [found, fresh] = wanted_of.try_emplace({own, home});
+    Wanted& w = found->second;
+    if (!fresh) return w;
+    w.lines = wanted_lines(own, home);
+    for (std::uint32_t round = 0; round < kRounds; ++round) {
+      Deal& order = w.rounds.emplace_back();
+      for (const auto& [id, weight] : w.lines)
+        order[endpoints.at(id).listed.locality].emplace_back(std::uint32_t(id) * (kGolden + 2 * round), id);
+      for (auto& [z, ids] : order) std::sort(ids.begin(), ids.end());
+    }
+    return w;
   }
 
   // The part of the wanted lines that one table of a band holds: the order is cut into chunks, one a table.
-  Lines dealt_lines(const GroupKey& key, const Group& group, const Lines& all, const Deal& order) const {
-    if (group.parts <= 1) return all;
+  Lines dealt_lines(const GroupKey& key, const Group& group, bool home) {
+    const Wanted& all = wanted(key.locality, home);
+    if (group.parts <= 1) return all.lines;
     Lines part;
     std::size_t chunk = at(key.part) / kRounds, chunks = at(group.parts) / kRounds;
-    for (const auto& [z, ids] : order)
+    for (const auto& [z, ids] : all.rounds[at(key.part) % kRounds])
       for (auto k = (chunk * ids.size() + chunks - 1) / chunks; k * chunks < (chunk + 1) * ids.size(); ++k)
-        part[ids[k].second] = all.at(ids[k].second);
-    return part.empty() ? all : part;
+        part[ids[k].second] = all.lines.at(ids[k].second);
+    return part.empty() ? all.lines : part;
   }
 
   // What every table should hold. Tables that share endpoints differ in what their proxies bring: each line
   // is scaled, a few times over, by its endpoint's due over what all tables together would send to it.
   void plan_tables() {
-    std::map<std::pair<Locality, bool>, Lines> wanted;  // the same for all tables of a locality
-    std::map<std::tuple<Locality, bool, int>, Deal> dealt;
     std::vector<std::pair<double, Lines*>> tables;  // with what its proxies let in
     for (auto& [key, group] : groups)
       for (auto& [home, table] : group.tables) {
-        auto [all, fresh] = wanted.try_emplace({key.locality, home});
-        if (fresh) all->second = wanted_lines(key.locality, home);
-        auto [order, new_round] = dealt.try_emplace({key.locality, home, key.part % kRounds});
-        if (new_round) order->second = deal(key, all->second);
-        table.want = dealt_lines(key, group, all->second, order->second);
+        table.want = dealt_lines(key, group, home);
         tables.emplace_back(0, &table.want);
         for (std::size_t c = 0; c < group.let_in.size() && !group.users.empty(); ++c)
           if (set.classes[c].home_only == home) tables.back().first += group.let_in[c];
@@ -725,6 +736,7 @@
     since_sum += static_cast<double>(events.size());
     bool news = !unbound.empty() && since_sum * kSumsAProxy >= static_cast<double>(proxies.size());
     if (period || news) sum_demand();
+    if (period || news || list_changed) wanted_of.clear();
     if (period) {
       close_period();
       for (std::size_t z = 0; z < set.localities.size(); ++z) judge_health(Locality(z));
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -70,6 +70,10 @@
 using Lines = std::map<EndpointId, double>;  // weights
 // The endpoints of each locality in the order of a round of dealing, by what scrambles their ids.
 using Deal = std::map<Locality, std::vector<std::pair<std::uint32_t, EndpointId>>>;
+struct Wanted {
+  Lines lines;
+  std::vector<Deal> rounds;
+};
 
 struct Table {
   TableId id{};
@@ -84,9 +88,6 @@
   std::map<bool, Table> tables;                      // by whether the classes on it must stay at home
   std::vector<std::pair<double, RetryMode>> levels;  // by class, as sent; below 0: not sent yet
   Time last_push = kLongAgo, last_urgent = kLongAgo;
-
-  void enter(ProxyId proxy, double rate) { users.insert(proxy), usual += rate; }
-  void leave(ProxyId proxy, double rate) { users.erase(proxy), usual -= rate; }
 };
 
 // What proxies let in, requests a second, by locality and class.
