--- a/src/assigner/core.cpp
+++ b/src/assigner/core.cpp
@@ -131,7 +131,7 @@
     log(log::Level::info, "proxy_left",
         {{"proxy", std::to_string(stream.id)}, {"peer", net::to_string(stream.address)}, {"reason", reason}});
     proxies_.erase(proxy);
-    for (auto& [number, table] : tables_) table.users.erase(proxy);
+    for (std::uint32_t number : stream.uses) tables_.at(number).users.erase(proxy);
     intake_.forget(proxy);
     open_.erase(proxy);
     tell(ProxyLeft{proxy});
@@ -360,11 +360,16 @@
   }
   ClassMask classes = b.classes != 0 ? b.classes : (ClassMask{1} << site_.policy.classes.size()) - 1;
   std::uint32_t number = on_wire(module_number, b.table);
-  for (auto t = tables_.begin(); t != tables_.end(); ++t)
-    if (auto user = t->second.users.find(b.proxy); user != t->second.users.end())
-      if ((user->second &= ~classes) == 0) t->second.users.erase(user);
+  std::erase_if(stream.uses, [&](std::uint32_t used) {
+    auto& users = tables_.at(used).users;
+    auto user = users.find(b.proxy);
+    if ((user->second &= ~classes) != 0) return false;
+    users.erase(user);
+    return true;
+  });
   Table& table = tables_[number];
   table.users[b.proxy] |= classes;
+  stream.uses.insert(number);
   write(module_number, b.proxy, channel::BindOrder{classes, number});
   for (auto& [endpoint, weight] : table.lines)
     write(module_number, b.proxy, line_of(number, endpoint, weight));
--- a/src/assigner/core.h
+++ b/src/assigner/core.h
@@ -123,7 +123,7 @@
   const Counters& counters() const { return counters_; }
   std::size_t streams() const { return streams_.size(); }
   std::size_t proxies() const { return proxies_.size(); }
-  double waiting_lines() const;  // decided and not yet confirmed
+  double waiting_lines() const;                                   // decided and not yet confirmed
   Ms oldest_report(Ms now) const { return intake_.oldest(now); }  // that waits for the module
   bool taking_over() const { return modules_.size() > 1; }
   Fleet fleet(Ms now) const;
@@ -149,7 +149,8 @@
     std::uint32_t id = 0;  // of the proxy or the peer
     std::uint64_t incarnation = 0;
     std::uint32_t attempt = 0;
-    std::uint32_t owner = 0;  // the module that orders this proxy
+    std::uint32_t owner = 0;       // the module that orders this proxy
+    std::set<std::uint32_t> uses;  // tables that it is bound to: a user there
     double usual = 0;
     std::uint64_t sequence = 0, reported = 0;
     std::deque<Sent> unconfirmed;
