--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -24,6 +24,7 @@
 #include "experiment/report.h"
 #include "experiment/runner.h"
 #include "gate/gate.h"
+#include "load/load.h"
 #include "measure/measure.h"
 #include "record/record.h"
 #include "standin/control.h"
@@ -397,7 +398,9 @@
   for (const std::string& d : r.differences) fmt::print("flight record differs: {}\n", d);
   for (const std::string& line : r.refused) fmt::print("refused: {}\n", line);
   print_nearest(r.verdict);
-  return print_kept(r.verdict) && r.differences.empty() && r.refused.empty() ? kWell : kBroken;
+  bool enough = r.service >= day.expect_service;
+  if (!enough) fmt::print("service {:.3f}, {} is expected\n", r.service, day.expect_service);
+  return print_kept(r.verdict) && r.differences.empty() && r.refused.empty() && enough ? kWell : kBroken;
 }
 
 int experiment(const ExperimentArguments& a) {
@@ -455,6 +458,41 @@
   return kWell;
 }
 
+int load(const LoadArguments& a) {
+  net::Reactor::block_signals({SIGPIPE});
+  load::LoadOptions o{
+      .rate = {a.rate, *load::shape_named(a.shape), a.times, a.period_s * 1000, a.seconds * 1000},
+      .seed = a.seed,
+      .work = a.work_ms,
+      .request_class = a.request_class,
+      .keyed = a.keyed,
+      .deadline = a.deadline_ms,
+      .within = a.within_ms,
+      .most_open = a.most_open};
+  for (const std::string& to : a.to) o.to.push_back(address(to, "to"));
+  if (!a.from.empty()) o.from = address(a.from, "--from");
+  net::Reactor reactor;
+  load::Loaded r = load::run(reactor, o, [](const load::Loaded& so_far) {
+    fmt::print(stderr, "{} due, {} good, {} refused, {} late\n", so_far.due, so_far.good, so_far.refused,
+               so_far.late);
+  });
+  auto part = [&](std::size_t n) {
+    return r.due > 0 ? 100.0 * static_cast<double>(n) / static_cast<double>(r.due) : 0;
+  };
+  fmt::print(
+      "{} due; {:.2f}% in time, {:.2f}% good, {:.2f}% refused, {:.2f}% errors, {:.2f}% late, {:.2f}% broken, "
+      "{:.2f}% not sent\n",
+      r.due, part(r.in_time), part(r.good), part(r.refused), part(r.errors), part(r.late), part(r.broken),
+      part(r.not_sent));
+  auto line = [](const char* name, const load::Latencies& l) {
+    fmt::print("{}: p50 {:.2f}, p90 {:.2f}, p99 {:.2f}, p99.9 {:.2f}, most {:.2f} ms\n", name, l.p50, l.p90,
+               l.p99, l.p999, l.most);
+  };
+  line("since due ", r.since_due), line("since sent", r.since_sent);
+  fmt::print("this tool sent {:.2f} ms late at most\n", r.latest_start);
+  return r.good == r.due ? kWell : kBroken;
+}
+
 int alerts_check(const std::vector<std::string>& files) {
   std::vector<alerts::Rule> rules;
   for (const std::string& file : files)
@@ -475,6 +513,7 @@
 
 int measure(const MeasureArguments& a) {
   if (a.metrics) measure::measure_metrics(a.seconds / 10);
+  else if (a.emulator) measure::measure_emulator();
   else if (a.config) measure::measure_config({own_program(), a.active, a.idle, a.servers, a.seconds});
   else if (a.echo.empty()) measure::measure_channel({own_program(), a.active, a.idle, a.servers, a.seconds});
   else measure::echo(a.echo);
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -52,13 +52,25 @@
 int plot(const ExperimentArguments& arguments);
 int report(const ExperimentArguments& arguments);
 
+struct LoadArguments {
+  std::vector<std::string> to;
+  std::string shape = "constant", from;
+  double rate = 100, seconds = 10, times = 3, period_s = 10, work_ms = 20, deadline_ms = 3000,
+         within_ms = 500;
+  unsigned request_class = 0;
+  unsigned long long seed = 1;
+  std::size_t most_open = 10000;
+  bool keyed = false;
+};
+int load(const LoadArguments& arguments);
+
 int alerts_check(const std::vector<std::string>& files);
 int alerts_test(const std::vector<std::string>& files);
 
 struct MeasureArguments {
   int active = 1000, idle = 10000, servers = 50;
   double seconds = 10;
-  bool metrics = false, config = false;
+  bool metrics = false, config = false, emulator = false;
   std::string echo;
 };
 int measure(const MeasureArguments& arguments);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -123,6 +123,28 @@
   report_command->add_option("--out", x.to, "the page, an HTML file")->required();
   report_command->callback([&] { result = report(x); });
 
+  LoadArguments l;
+  auto* load_command = app.add_subcommand(
+      "load",
+      "open-loop traffic to servers or proxies on sockets; latency counts from when a request was due");
+  load_command->add_option("to", l.to, "addresses, in turn")->required();
+  load_command->add_option("--rate", l.rate, "requests a second, on average")->check(CLI::Range(0.1, 1e6));
+  load_command->add_option("--seconds", l.seconds, "how long")->check(CLI::Range(0.1, 1e6));
+  load_command->add_option("--shape", l.shape, "of the rate by time")
+      ->check(CLI::IsMember({"constant", "burst", "ramp", "wave"}));
+  load_command->add_option("--times", l.times, "a burst's or a crest's rate over the mean")
+      ->check(CLI::Range(1.0, 10.0));
+  load_command->add_option("--period", l.period_s, "of bursts and waves, s")->check(CLI::Range(0.1, 1e6));
+  load_command->add_option("--work-ms", l.work_ms, "mean work of a request")->check(CLI::Range(0.0, 1e6));
+  load_command->add_option("--class", l.request_class, "by number");
+  load_command->add_flag("--keyed", l.keyed, "give each request a key of its own");
+  load_command->add_option("--deadline-ms", l.deadline_ms, "given up then")->check(CLI::Range(1.0, 1e6));
+  load_command->add_option("--within-ms", l.within_ms, "what counts as in time")->check(CLI::Range(0.0, 1e6));
+  load_command->add_option("--most-open", l.most_open, "requests out at once")->check(CLI::Range(1, 1000000));
+  load_command->add_option("--seed", l.seed), load_command->add_option("--from", l.from, "source address");
+  load_command->footer("Example: beamshunt load 127.0.0.1:8000 --rate 200 --shape burst --seconds 30");
+  load_command->callback([&] { result = load(l); });
+
   auto* alerts = app.add_subcommand("alerts", "alert rules, without a server for them");
   alerts->require_subcommand(1);
   auto* alerts_check_command = alerts->add_subcommand("check", "hold rules against what the program exports");
@@ -144,6 +166,7 @@
   measure_command->add_option("--seconds", m.seconds, "of each measurement");
   measure_command->add_flag("--metrics", m.metrics, "the path of figures instead: encoding and buffer");
   measure_command->add_flag("--config", m.config, "versions of streamed settings instead");
+  measure_command->add_flag("--emulator", m.emulator, "simulated time instead, beside an ideal loop");
   measure_command->add_option("--echo", m.echo, "be the floor at this address")->group("");
   measure_command->callback([&] { result = measure(m); });
 
--- a/src/day/day.cpp
+++ b/src/day/day.cpp
@@ -17,6 +17,7 @@
   kind: "balancer_crash" | "burst" | "crash" | "deploy" | "discovery_down" | "discovery_stale" |
     "fast_errors" | "flapping" | "grow" | "hang" | "mass_restart" | "shared_slow" | "shift" | "slow" |
     "slow_link" | "vanish" | "zone_cut" | "zone_loss" | "ageing" | "class_fail" | "false_reports" |
+    "reports_late" |
     "receiver_away" | "receiver_hangs" | "receiver_cuts" | "receiver_status" | "config" | "control_away"
   for: duration & >=0ms | *3s
   part: number & >0 & <=1 | *0.3 // of what can be struck
@@ -78,6 +79,7 @@
     service_drop: number & >0 & <=1 | *0.5
   }
   troubles: [...#Trouble]
+  expect: service: number & >=0 & <=1 | *0 // at least, or the day has failed
   audit: {
     margin: duration & >=0ms | *500ms
     capacity_slack: number & >=1 | *1.3
@@ -115,6 +117,7 @@
     const Tree& control = tree_.at("control");
     day_.controls = static_cast<int>(control.whole("services"));
     day_.config_watch = control.real("watch"), day_.config_drop = control.real("service_drop");
+    day_.expect_service = tree_.at("expect").real("service");
     read_limits();
     return std::move(day_);
   }
--- a/src/day/day.h
+++ b/src/day/day.h
@@ -54,6 +54,7 @@
   Ms config_watch = 0;
   double config_drop = 0;
   std::vector<Trouble> troubles;  // by time
+  double expect_service = 0;      // at least
   audit::Limits limits;
   config::Tree site;  // for the assigners' own settings
   Settings policy;    // as an assigner will read it
--- a/src/day/player.cpp
+++ b/src/day/player.cpp
@@ -377,6 +377,7 @@
     for (ProxyRun& p : proxies_)
       if (p.proxy) p.proxy->links_changed();
   }
+  void bend_reports(const standin::Reporting& to) override { world_.reporting = to; }
   void services(const Trouble& t) override {
     if (t.kind == "config") config(t);
     else if (t.kind == "control_away") control_away(t);
--- a/src/day/script.cpp
+++ b/src/day/script.cpp
@@ -158,6 +158,7 @@
       {"ageing", &Script::ageing},
       {"class_fail", &Script::class_fail},
       {"false_reports", &Script::false_reports},
+      {"reports_late", &Script::reports_late},
       {"receiver_away", &Script::services},
       {"receiver_hangs", &Script::services},
       {"receiver_cuts", &Script::services},
@@ -331,6 +332,14 @@
   bend_links(t, fmt::format("{} ms each way, {:.0f}% lost", t.size, t.extra * 100),
              {.cut = false, .delay = t.size, .loss = t.extra});
 }
+void Script::reports_late(const Trouble& t) {  // size: seconds; extra: of those that are not late, share lost
+  stage_.say(fmt::format("reports_late: reports are {} s late, {:.0f}% lost", t.size, t.extra * 100));
+  stage_.bend_reports({t.size * 1000, t.extra});
+  stage_.after(t.lasts, [this] {
+    stage_.say("reports are on time again");
+    stage_.bend_reports({});
+  });
+}
 void Script::zone_cut(const Trouble& t) { bend_links(t, "nothing passes", {.cut = true}); }
 void Script::zone_loss(const Trouble& t) {  // how "all": its proxies and assigners too
   std::uint32_t z = t.locality.value_or(0);
--- a/src/day/script.h
+++ b/src/day/script.h
@@ -49,6 +49,7 @@
   virtual std::vector<double>& rate_factor() = 0;  // of the traffic, by locality
   virtual void list_fails(bool down) = 0;
   virtual void list_is_stale(Ms added) = 0;
+  virtual void bend_reports(const standin::Reporting& to) = 0;  // of all proxies
   virtual void bend_links(std::uint32_t locality, const standin::Links::Way& to_others) = 0;
   // Receivers and control services, where a stage has them.
   virtual void services(const Trouble& trouble) = 0;
@@ -115,6 +116,7 @@
   void slow_link(const Trouble& t);
   void zone_cut(const Trouble& t);
   void zone_loss(const Trouble& t);
+  void reports_late(const Trouble& t);
   void services(const Trouble& t) { stage_.services(t); }
 
   Stage& stage_;
--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -246,6 +246,7 @@
     for (std::size_t k = 0; k < proxies_.size(); ++k)
       if (proxies_[k].model && proxies_[k].open && !way(k).cut) release_held(k);
   }
+  void bend_reports(const Reporting& to) override { reporting_ = to; }
   void services(const day::Trouble& t) override { say(t.kind + " is for sockets: left out"); }
 
   // ---- Servers ----
@@ -662,7 +663,15 @@
   void report(std::size_t k, std::uint64_t life) {
     ProxyRun& p = proxies_[k];
     if (p.life != life) return;
-    if (p.joined) send(k, p.model->report(engine_.now()));
+    if (p.joined) {
+      channel::Report due = p.model->report(engine_.now());
+      if (reporting_.late > 0)
+        engine_.after(reporting_.late, [this, k, life, number = p.stream_number, due] {
+          const ProxyRun& x = proxies_[k];
+          if (x.life == life && x.stream_number == number && x.joined) send(k, due);
+        });
+      else if (!p.model->loses_report(reporting_.lost)) send(k, due);
+    }
     engine_.after(p.period, [this, k, life] { report(k, life); });
   }
 
@@ -830,6 +839,7 @@
   pcg32 random_, traffic_random_;
   net::PrefixMap prefixes_;
   Links links_;
+  Reporting reporting_;
   audit::Watch watch_;
   Summary summary_;
   Emulated out_;
--- a/src/emulator/swarm.cpp
+++ b/src/emulator/swarm.cpp
@@ -113,6 +113,8 @@
     out.failure = fmt::format("rule {} at {:.2f} s: {}", static_cast<int>(b.rule) + 1, b.at / 1000, b.what);
   } else if (!out.played.refused.empty()) {
     out.failure = "refused: " + out.played.refused.front();
+  } else if (out.played.service < stage.expect_service) {
+    out.failure = fmt::format("service {:.3f}, {} expected", out.played.service, stage.expect_service);
   }
   return out;
 }
@@ -140,15 +142,16 @@
 
 SwarmResult swarm(const std::vector<config::Source>& files, const SwarmOptions& o) {
   std::vector<config::Source> plain = files;
-  plain.push_back({"swarm.cue", "name: \"swarm\"\n"});
+  if (!config::given_text(files, "name")) plain.push_back({"swarm.cue", "name: \"swarm\"\n"});
   const day::Day stage = day::load_day(plain);
+  bool is_template = !stage.troubles.empty();  // its own troubles, on every seed
   std::vector<One> all(o.days);
   std::vector<std::vector<day::Trouble>> troubles(o.days);
   std::atomic<std::size_t> next = 0, done = 0;
   auto work = [&] {
     for (std::size_t k = next++; k < o.days; k = next++) {
       std::uint64_t seed = o.seed + k;
-      troubles[k] = draw_troubles(stage, seed, o.most_troubles);
+      troubles[k] = is_template ? stage.troubles : draw_troubles(stage, seed, o.most_troubles);
       all[k] = play(stage, seed, troubles[k], o.sabotage);
       all[k].played.verdict = {};
       o.progress(++done);
@@ -167,8 +170,11 @@
     out.worst = std::min(out.worst, e.service);
     out.events += e.events;
     prints(e.fingerprint);
-    if (!all[k].failure.empty())
-      out.failures.push_back(shrink(stage, o.seed + k, troubles[k], o.sabotage, all[k].failure));
+    if (all[k].failure.empty()) continue;
+    if (is_template)
+      out.failures.push_back({o.seed + k, all[k].failure, troubles[k].size(),
+                              fmt::format("// the day as it is, with --seed {}\n", o.seed + k)});
+    else out.failures.push_back(shrink(stage, o.seed + k, troubles[k], o.sabotage, all[k].failure));
   }
   out.fingerprint = XXH3_64bits(prints.bytes().data(), prints.bytes().size());
   return out;
--- a/src/measure/measure.h
+++ b/src/measure/measure.h
@@ -22,6 +22,10 @@
 // Encoding and the durable buffer of figures, beside snappy and memcpy. Prints a table.
 void measure_metrics(double seconds);
 
+// Simulated time: requests and events a second of one core beside its queue alone, a heap beside a calendar
+// queue, and memory. Prints two tables.
+void measure_emulator();
+
 // The floor: reads frames and sends each back, and does nothing else. Until SIGTERM.
 void echo(const std::string& address);
 
--- a/src/standin/proxy.cpp
+++ b/src/standin/proxy.cpp
@@ -245,7 +245,15 @@
 }
 
 void Proxy::report() {
-  if (joined_) send(model_.report(world_.now()));
+  if (joined_) {
+    channel::Report due = model_.report(world_.now());
+    const Reporting& way = world_.reporting;
+    if (way.late > 0)
+      world_.reactor.at(world_.now() + way.late, [this, alive = alive_, number = stream_number_, due] {
+        if (*alive && number == stream_number_ && joined_) send(due);
+      });
+    else if (!model_.loses_report(way.lost)) send(due);
+  }
   world_.reactor.at(world_.now() + period_, [this, alive = alive_] {
     if (*alive) report();
   });
--- a/src/standin/proxy_model.h
+++ b/src/standin/proxy_model.h
@@ -66,6 +66,11 @@
   void unanswered(std::size_t request_class) { ++usage_[request_class].unanswered; }
   void in_time(std::size_t request_class) { ++usage_[request_class].in_time; }
   channel::Report report(Ms now);
+  bool loses_report(double share) {  // every so many-th, whatever chance does
+    if ((lost_ += share) < 1) return false;
+    lost_ -= 1;
+    return true;
+  }
   void reports_begin(Ms now) { reported_at_ = now; }
 
   std::vector<std::uint32_t> lines_of(
@@ -118,6 +123,7 @@
   std::map<std::uint32_t, Tries> heard_;
   std::vector<channel::Usage> usage_;
   std::uint64_t report_sequence_ = 0;
+  double lost_ = 0;  // reports due to be lost
   Ms reported_at_ = 0;
 };
 
--- a/src/standin/world.h
+++ b/src/standin/world.h
@@ -31,9 +31,16 @@
   std::map<std::pair<std::uint32_t, std::uint32_t>, Way> ways_;
 };
 
+// What becomes of proxies' reports on their way, where a day delays or loses them.
+struct Reporting {
+  Ms late = 0;
+  double lost = 0;  // share, spread evenly
+};
+
 struct World {
   net::Reactor reactor;
   Links links;
+  Reporting reporting;
   net::PrefixMap locality_of;
   Taps taps;
   Ms now() const { return reactor.now(); }
--- a/tests/emulator/emulator_test.cpp
+++ b/tests/emulator/emulator_test.cpp
@@ -97,6 +97,69 @@
   EXPECT_TRUE(emulate(small, {}).verdict.breaks.empty()) << "it was the sabotage";
 }
 
+TEST(Swarm, HardCasesMeetWhatTheyExpect) {
+  for (const char* name : {"late-reports", "tenfold", "restart-in-a-cut", "grey-liars"}) {
+    SwarmResult r =
+        swarm({stage(), source(fmt::format("days/hard/{}.cue", name))}, {.days = 8, .seed = 1, .threads = 4});
+    for (const Failure& f : r.failures) ADD_FAILURE() << name << ", seed " << f.seed << ": " << f.what;
+    // An expectation that nothing meets is seen to fail.
+    SwarmResult none = swarm({stage(), source(fmt::format("days/hard/{}.cue", name))},
+                             {.days = 1, .seed = 1, .threads = 1, .sabotage = "empty"});
+    EXPECT_EQ(none.failures.size(), 1u) << name;
+  }
+}
+
+// One proxy before many servers of one core: the part of servers with k jobs or more is load^k for random picks,
+// load^(2^k - 1) for the better of two (Mitzenmacher; Vvedenskaya, Dobrushin and Karpelevich).
+TEST(Calibration, RandomAndTwoChoiceQueuesAreAsLongAsTheorySays) {
+  constexpr int kServers = 100;
+  constexpr double kLoad = 0.8, kWork = 10;
+  for (auto pick : {standin::Pick::weighted, standin::Pick::two}) {
+    standin::ProxySpec spec{.id = 1, .pick = pick, .levels = standin::Levels::none, .avoid_after = 0};
+    std::vector<std::unique_ptr<standin::ServerModel>> servers;
+    for (std::uint32_t k = 0; k < kServers; ++k) {
+      spec.standing.push_back({.endpoint = k});
+      servers.push_back(std::make_unique<standin::ServerModel>(
+          standin::ServerSpec{.id = k, .cores = 1, .speed = 1, .most_queued = 100000},
+          std::make_shared<standin::Pod>(), 0, k));
+      servers.back()->start(0, false);
+    }
+    standin::ProxyModel proxy(spec);
+    pcg32 random(11);
+    Engine engine(0);
+    std::map<std::uint32_t, int> inside;
+    std::vector<double> at_least(6, 0);
+    std::function<void(std::uint32_t)> advance = [&](std::uint32_t k) {
+      for (std::size_t n = servers[k]->advance(engine.now()).size(); n > 0; --n)
+        --inside[k], proxy.ended(engine.now(), k, true, 1, {});
+      if (servers[k]->next_due() < 1e17) engine.at(servers[k]->next_due(), [&, k] { advance(k); });
+    };
+    constexpr std::uint64_t kJobs = 60000, kWarm = 10000;
+    std::uint64_t job = 0;
+    std::function<void()> arrive = [&] {
+      if (++job > kWarm)  // arrivals see time averages
+        for (std::size_t k = 1; k < at_least.size(); ++k)
+          for (auto& [id, n] : inside) at_least[k] += n >= static_cast<int>(k);
+      std::uint32_t to = proxy.pick(engine.now(), 0, {})->endpoint;
+      proxy.sent(to);
+      ++inside[to];
+      double work = std::exponential_distribution<double>(1 / kWork)(random);
+      servers[to]->arrive(engine.now(),
+                          {.token = job, .request = job, .request_class = 0, .key = "", .work_ms = work});
+      advance(to);
+      if (job < kJobs)
+        engine.after(std::exponential_distribution<double>(kLoad * kServers / kWork)(random), arrive);
+    };
+    arrive();
+    engine.run(1e9);
+    for (std::size_t k = 1; k < 5; ++k) {
+      double part = at_least[k] / static_cast<double>(kJobs - kWarm) / kServers;
+      double power = pick == standin::Pick::two ? std::pow(2, k) - 1 : static_cast<double>(k);
+      EXPECT_NEAR(part, std::pow(kLoad, power), 0.04) << k << " jobs or more, " << static_cast<int>(pick);
+    }
+  }
+}
+
 // Poisson arrivals, exponential work, c cores: the mean wait that Erlang's formula gives.
 TEST(Calibration, TheServerModelWaitsAsMMcDoes) {
   for (auto [cores, load] : {std::pair{1, 0.5}, {1, 0.8}, {2, 0.7}, {4, 0.8}}) {
