--- a/experiments/policies.cue
+++ b/experiments/policies.cue
@@ -1,7 +1,9 @@
 name: "policies"
 about: "the module and the baselines on one day of troubles, from light load to overload"
 stage: ["../days/stage.cue", "troubled.cue"]
-policies: ["module", "round-robin", "static-weights", "least-load", "two-choice"]
+policies: [
+  "module", "round-robin", "static-weights", "least-load", "two-choice", "module-two-choice", "module-least-load"
+]
 seeds: 20
 sample: 500ms
 sweep: [{
--- a/src/emulator/host.cpp
+++ b/src/emulator/host.cpp
@@ -154,7 +154,9 @@
                                                      {Policy::round_robin, "round-robin"},
                                                      {Policy::static_weights, "static-weights"},
                                                      {Policy::least_load, "least-load"},
-                                                     {Policy::two_choice, "two-choice"}};
+                                                     {Policy::two_choice, "two-choice"},
+                                                     {Policy::module_two_choice, "module-two-choice"},
+                                                     {Policy::module_least_load, "module-least-load"}};
 
 }  // namespace
 
@@ -175,8 +177,10 @@
     case Policy::static_weights:
       return standin::Pick::weighted;
     case Policy::least_load:
+    case Policy::module_least_load:
       return standin::Pick::least;
     case Policy::two_choice:
+    case Policy::module_two_choice:
       return standin::Pick::two;
     default:
       return of_the_day;
@@ -187,7 +191,7 @@
                                 const std::string& warm, Ms now, double wall_now, assigner::Between between) {
   std::optional<assigner::EndpointBook> held;
   if (!warm.empty()) held = assigner::EndpointBook::from_bytes(warm);
-  if (policy == Policy::module)
+  if (policy == Policy::module || policy == Policy::module_two_choice || policy == Policy::module_least_load)
     return std::make_unique<CoreHost>(site, epoch, std::move(held), now, wall_now, std::move(between));
   return std::make_unique<PlainHost>(site, epoch, std::move(held), now, policy == Policy::static_weights);
 }
--- a/src/emulator/host.h
+++ b/src/emulator/host.h
@@ -19,7 +19,16 @@
 // The baselines tell each proxy all listed servers of its locality (all servers, if the locality has none and
 // the class may leave it), at once and without a pace, and change them with the list alone: no levels, no
 // ejection, no slow start. What a proxy then does with equal weights, or with the listed sizes, is its pick.
-enum class Policy { module, round_robin, static_weights, least_load, two_choice };
+// The module's tables can be picked from in the baselines' ways, too.
+enum class Policy {
+  module,
+  round_robin,
+  static_weights,
+  least_load,
+  two_choice,
+  module_two_choice,
+  module_least_load
+};
 const char* policy_name(Policy policy);
 std::optional<Policy> policy_named(std::string_view name);
 standin::Pick pick_of(Policy policy, standin::Pick of_the_day);
--- a/src/emulator/swarm.h
+++ b/src/emulator/swarm.h
@@ -36,8 +36,9 @@
   std::vector<Failure> failures;  // in the order of the days
 };
 
-// Days on the stage that the files give. Where it has troubles of its own it is a template: these are played on
-// every seed, and none are drawn. A day fails by a rule, a refused stream, or less service than it expects. Throws config::ConfigError.
+// Days on the stage that the files give. Where it has troubles of its own it is a template: these are
+// played on every seed, and none are drawn. A day fails by a rule, a refused stream, or less service than
+// it expects. Throws config::ConfigError.
 SwarmResult swarm(const std::vector<config::Source>& files, const SwarmOptions& options);
 
 }  // namespace beamshunt::emulator
--- a/src/experiment/plan.cpp
+++ b/src/experiment/plan.cpp
@@ -40,7 +40,8 @@
   name: string & =~"^[a-z][a-z0-9-]*$"
   about: string | *""
   stage: [...string]             // day files, from this file's folder on
-  policies: [...string]          // module, round-robin, static-weights, least-load, two-choice
+  policies: [...string]          // module, round-robin, static-weights, least-load, two-choice,
+                                 // module-two-choice, module-least-load
   seeds: int & >=1 & <=1000 | *5
   first_seed: int & >=1 | *1
   sample: duration & >=0ms | *0ms // between samples by time; 0: none
--- a/src/experiment/plan.h
+++ b/src/experiment/plan.h
@@ -1,5 +1,5 @@
-// An experiment as a file gives it: a day, what of it is swept, under which policies, over how many seeds, and
-// the plots wanted of it. docs/experiments.md describes the file.
+// An experiment as a file gives it: a day, what of it is swept, under which policies, over how many
+// seeds, and the plots wanted of it. docs/experiments.md describes the file.
 #pragma once
 
 #include <cstdint>
--- a/src/experiment/results.h
+++ b/src/experiment/results.h
@@ -1,10 +1,10 @@
 // What an experiment's runs come to, and where that is kept: a journal that grows run by run and survives a
 // kill, and a columnar file (HDF5) made of it at the end.
 //
-// The columnar file: /runs/point, /runs/policy, /runs/seed and one column for each sweep and figure, a row a
-// run; /series/run (row in /runs), /series/series (position in the attribute `names`), /series/time (ms since
-// the traffic began), /series/value; units as attributes; attributes of the root: name, experiment (its text),
-// version of this layout.
+// The columnar file: /runs/point, /runs/policy, /runs/seed and one column for each sweep and figure, a
+// row a run; /series/run (row in /runs), /series/series (position in the attribute `names`), /series/time
+// (ms since the traffic began), /series/value; units as attributes; attributes of the root: name,
+// experiment (its text), version of this layout.
 #pragma once
 
 #include <map>
@@ -36,8 +36,8 @@
 
 bool rules_broken(const Row& row);
 
-// Finished runs, one line each, synced; a torn last line is cut. Throws std::runtime_error where the journal is
-// of another experiment, or damaged.
+// Finished runs, one line each, synced; a torn last line is cut. Throws std::runtime_error where the
+// journal is of another experiment, or damaged.
 class Journal {
  public:
   Journal(const std::string& path, const Plan& plan);
--- a/src/load/load.h
+++ b/src/load/load.h
@@ -1,6 +1,6 @@
-// Traffic on real sockets, to a server or a proxy: requests leave when the schedule says, never when an answer
-// allows, and latency counts from the instant a request was due. What a stalled peer delays is thus measured
-// and not left out.
+// Traffic on real sockets, to a server or a proxy: requests leave when the schedule says, never when an
+// answer allows, and latency counts from the instant a request was due. What a stalled peer delays is
+// thus measured and not left out.
 #pragma once
 
 #include <functional>
--- a/src/measure/emulator.cpp
+++ b/src/measure/emulator.cpp
@@ -1,5 +1,5 @@
-// The emulator beside ideal loops of the same machine in the same run: its queue alone, and a calendar queue
-// in its place.
+// The emulator beside ideal loops of the same machine in the same run: its queue alone, and a calendar
+// queue in its place.
 #include "emulator/emulator.h"
 
 #include <fmt/format.h>
@@ -21,8 +21,8 @@
 using base::Ms;
 using Micros = std::int64_t;
 
-// Brown's calendar queue: days of a fixed width, a year of them, each day in order. What it holds is sized when
-// it is made: the hold model below keeps the number of events.
+// Brown's calendar queue: days of a fixed width, a year of them, each day in order. What it holds is
+// sized when it is made: the hold model below keeps the number of events.
 class Calendar {
  public:
   Calendar(std::size_t events, Micros width)
@@ -95,11 +95,13 @@
   localities: [{{name: "here", prefixes: []}}]
   classes: [{{name: "read", slo: 500ms, deadline: 1500ms, semantics: "retryable"}}]
   proxies: {1}
-  channel: {{lines_per_s: {3}/s, most_waiting_lines: {4}, messages: 30, span: 10s, delay: 20ms, delay_most: 200ms}}
+  channel: {{lines_per_s: {3}/s, most_waiting_lines: {4}, messages: 30, span: 10s}}
+  channel: {{delay: 20ms, delay_most: 200ms}}
   reports: {{period: 1s, lines_per_s: {3}/s}}
   list: {{must_ask_in: 4s, quiet: 2s}}
   probes: timeout: 300ms
-  guarantees: {{empty_for: 2s, drain_grace: 1s, warm_up: 3s, fall: 800ms, start_capacity: 0.25, tip_multiple: 4}}
+  guarantees: {{empty_for: 2s, drain_grace: 1s, warm_up: 3s, fall: 800ms}}
+  guarantees: {{start_capacity: 0.25, tip_multiple: 4}}
 }}
 )",
                      servers, proxies, servers * 20, proxies * 10, proxies * 20);
--- a/tests/emulator/emulator_test.cpp
+++ b/tests/emulator/emulator_test.cpp
@@ -109,8 +109,8 @@
   }
 }
 
-// One proxy before many servers of one core: the part of servers with k jobs or more is load^k for random picks,
-// load^(2^k - 1) for the better of two (Mitzenmacher; Vvedenskaya, Dobrushin and Karpelevich).
+// One proxy before many servers of one core: the part of servers with k jobs or more is load^k for random
+// picks, load^(2^k - 1) for the better of two (Mitzenmacher; Vvedenskaya, Dobrushin and Karpelevich).
 TEST(Calibration, RandomAndTwoChoiceQueuesAreAsLongAsTheorySays) {
   constexpr int kServers = 100;
   constexpr double kLoad = 0.8, kWork = 10;
--- a/tests/experiment/experiment_test.cpp
+++ b/tests/experiment/experiment_test.cpp
@@ -35,7 +35,12 @@
 policies: ["module", "round-robin", "least-load"]
 seeds: 2
 sample: 500ms
-sweep: [{name: "rate", unit: "requests/s", values: [60, 150], set: ["name: \"try\"", "length: 2s", "traffic: rate: {rate*2}/s"]}]
+sweep: [{
+  name: "rate"
+  unit: "requests/s"
+  values: [60, 150]
+  set: ["name: \"try\"", "length: 2s", "traffic: rate: {rate*2}/s"]
+}]
 plots: [
   {name: "service", title: "Service", x: "rate", y: "service"},
   {name: "spread", title: "Spread", kind: "histogram", y: "took_99"},
--- a/tests/load/load_test.cpp
+++ b/tests/load/load_test.cpp
@@ -35,8 +35,8 @@
   EXPECT_TRUE(all({.mean = 0}, 1).empty());
 }
 
-// A server that stalls for 400 ms answers a few requests late by its own count, and all that were due meanwhile
-// late by the clients'.
+// A server that stalls for 400 ms answers a few requests late by its own count, and all that were due
+// meanwhile late by the clients'.
 TEST(Load, WhatAStallDelaysIsCounted) {
   net::Reactor reactor;
   std::vector<http::Responder> held;
