--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -60,6 +60,7 @@
   }
 
   Emulated play() {
+    if (options_.fixture) return rehearse(*options_.fixture);
     zero_ = kStart + day_.calm;
     for (const day::ServerGroup& group : day_.servers)
       for (int k = 0; k < group.count; ++k) add_server(group, false);
@@ -67,10 +68,9 @@
     engine_.after(day_.calm / 3, [this] {
       for (std::uint32_t z = 0; z < localities(); ++z)
         for (int k = 0; k < day_.proxies[z]; ++k) {
-          proxies_.emplace_back();
-          proxies_.back().locality = z;
-          proxies_.back().number = static_cast<std::uint32_t>(proxies_.size() - 1);
-          start_proxy(proxies_.size() - 1);
+          auto number = static_cast<std::uint32_t>(proxies_.size());
+          add_proxy(z, number, {((kFirstNet + z) << 24) + kFirstFront + number, 9000},
+                    day::locality_rate(day_, z) / day_.proxies[z]);
         }
     });
     engine_.run(zero_);
@@ -126,6 +126,7 @@
     channel::FrameParser parser;
     std::deque<std::string> held_up, held_down;  // in a cut way: to the assigner, from it
     net::Address front{};
+    double rate = 0;  // requests a second that usually come to it
   };
   struct AssignerRun {
     std::uint32_t instance = 0, locality = 0;
@@ -252,14 +253,18 @@
   // ---- Servers ----
   void add_server(const day::ServerGroup& group, bool cold) {
     auto number = static_cast<std::uint32_t>(servers_.size());
-    ServerSpec spec = day::server_spec(day_, group, number);
+    add_server(day::server_spec(day_, group, number), {((kFirstNet + group.locality) << 24) + number, 8000},
+               cold);
+  }
+  void add_server(const ServerSpec& spec, net::Address address, bool cold) {
+    auto number = static_cast<std::uint32_t>(servers_.size());
     auto& pod = pods_[{spec.locality, spec.cell}];
     if (!pod) pod = std::make_shared<Pod>();
     servers_.emplace_back();
     ServerRun& s = servers_.back();
     s.model = std::make_unique<ServerModel>(spec, pod, day::longest_window(day_), day_.seed * 1000 + number);
     s.id = spec.id, s.locality = spec.locality, s.cell = spec.cell, s.size = spec.listed_size();
-    s.address = {((kFirstNet + group.locality) << 24) + number, 8000};
+    s.address = address;
     by_id_[s.id] = servers_.size() - 1;
     if (cold) return start_cold(servers_.size() - 1);
     start_server(servers_.size() - 1, false);
@@ -380,7 +385,11 @@
   // ---- Assigners ----
   void start_assigner(std::uint32_t instance) override {
     AssignerRun& a = assigners_[instance];
-    if (a.epoch == 0) {
+    if (a.epoch == 0 && options_.fixture) {
+      a.instance = instance;
+      a.site = options_.fixture->site, a.warm = options_.fixture->list;
+      a.locality = static_cast<std::uint32_t>(a.site.policy.home);
+    } else if (a.epoch == 0) {
       a.instance = instance;
       for (auto& [i, z] : day_.assigners)
         if (i == instance) a.locality = z;
@@ -401,7 +410,7 @@
     }
     ++a.life;
     a.watching = a.turn_due = false;
-    assigner::Between between;
+    assigner::Between between = options_.fixture ? options_.fixture->between : assigner::Between();
     if (!options_.sabotage.empty()) between = audit::sabotage(options_.sabotage, a.site);
     a.host = make_host(options_.policy, a.site, ++a.epoch, a.warm, engine_.now(), wall(), std::move(between));
     soon(a);
@@ -488,6 +497,12 @@
   void carry_out(AssignerRun&, assigner::LogLine&) {}
 
   // ---- Proxies ----
+  void add_proxy(std::uint32_t locality, std::uint32_t number, net::Address front, double rate) {
+    proxies_.emplace_back();
+    ProxyRun& p = proxies_.back();
+    p.locality = locality, p.number = number, p.front = front, p.rate = rate;
+    start_proxy(proxies_.size() - 1);
+  }
   void start_proxy(std::size_t k) override {
     ProxyRun& p = proxies_[k];
     ProxySpec spec = day::proxy_spec(day_, p.locality, p.number);
@@ -502,7 +517,6 @@
       for (auto& [instance, z] : day_.assigners)
         if ((z == p.locality) == own) p.assigners.push_back(instance);
     day::share_assigners(p.assigners, own_assigners(p.locality), p.number);
-    p.front = {((kFirstNet + p.locality) << 24) + kFirstFront + p.number, 9000};
     p.gone_at = -1;
     fronts_[p.locality].until = 0;
     ++p.incarnation, ++p.life;
@@ -546,15 +560,14 @@
       a.host->stream_opened(stream, x.front, engine_.now());
       soon(a);
       x.model->stream_begins();
-      send(k, channel::Hello{
-                  .proxy = x.number,
-                  .incarnation = x.incarnation,
-                  .attempt = x.attempt,
-                  .locality = x.model->spec().locality_name,
-                  .usual_rate = day::locality_rate(day_, x.locality) / std::max(1, day_.proxies[x.locality]),
-                  .only_standing = x.model->only_standing(),
-                  .held_epoch = x.epoch,
-                  .held_sequence = x.applied});
+      send(k, channel::Hello{.proxy = x.number,
+                             .incarnation = x.incarnation,
+                             .attempt = x.attempt,
+                             .locality = x.model->spec().locality_name,
+                             .usual_rate = x.rate,
+                             .only_standing = x.model->only_standing(),
+                             .held_epoch = x.epoch,
+                             .held_sequence = x.applied});
     });
   }
   // The proxy's side of a stream ends; the assigner's hears of it, if anything passes.
@@ -595,8 +608,8 @@
     to_assigner(k, std::move(bytes));
   }
   void to_assigner(std::size_t k, std::string bytes) {
-    engine_.after(kHop, [this, i = chosen(proxies_[k]).instance, stream = proxies_[k].stream,
-                         bytes = std::move(bytes)] {
+    engine_.after(kHop + channel_delay_, [this, i = chosen(proxies_[k]).instance, stream = proxies_[k].stream,
+                                          bytes = std::move(bytes)] {
       AssignerRun& a = assigners_.at(i);
       if (!a.host || !a.streams.contains(stream)) return;
       measured([&] { a.host->stream_bytes(stream, bytes, engine_.now()); });
@@ -607,7 +620,7 @@
     ProxyRun& p = proxies_[k];
     if (!p.open || p.stream != stream) return;
     if (way(k).cut) return p.held_down.push_back(bytes);
-    p.deliver_after = std::max(p.deliver_after, engine_.now() + kHop + way(k).delay);
+    p.deliver_after = std::max(p.deliver_after, engine_.now() + kHop + channel_delay_ + way(k).delay);
     engine_.at(p.deliver_after, [this, k, stream, bytes] {
       ProxyRun& x = proxies_[k];
       if (!x.model || !x.open || x.stream != stream) return;
@@ -737,7 +750,7 @@
   // ---- Clients ----
   void next_arrival(std::uint32_t z) {
     if (ended_) return;
-    double rate = day::locality_rate(day_, z) * rate_factor_[z];
+    double rate = (options_.fixture ? fixture_rates_[z] : day::locality_rate(day_, z)) * rate_factor_[z];
     Ms wait = rate > 0 ? std::exponential_distribution<double>(rate / 1000)(traffic_random_) : 1e9;
     constexpr Ms kLook = 200;  // a rate may change while one waits
     bool arrives = wait <= kLook;
@@ -770,6 +783,9 @@
       if (unnoticed) f.until = std::min(f.until, p.gone_at + day_.front_notice);
       if (p.model || unnoticed) f.proxies.push_back(k);
     }
+    std::vector<double> rates;
+    for (std::size_t k : f.proxies) rates.push_back(proxies_[k].rate);
+    f.by_rate = std::discrete_distribution<std::size_t>(rates.begin(), rates.end());
     return f.proxies;
   }
   void ask(const std::shared_ptr<Asked>& a) {
@@ -781,7 +797,9 @@
     ++a->tries;
     auto r = std::make_shared<Request>();
     r->request = next_request_++, r->c = a->c, r->work = a->work, r->key = a->key;
-    r->proxy = fronts[fronts_[a->locality].turn++ % fronts.size()];
+    // A plain layer spreads evenly; a fixture's proxies have each their own traffic.
+    Fronts& f = fronts_[a->locality];
+    r->proxy = fronts[options_.fixture ? f.by_rate(traffic_random_) : f.turn++ % fronts.size()];
     r->life = proxies_[r->proxy].life;
     r->done = [this, a, finish](Reply how) {
       if (how == Reply::good) return finish(true);
@@ -801,6 +819,39 @@
     });
   }
 
+  // ---- A rehearsal ----
+  Emulated rehearse(const Fixture& f) {
+    constexpr Ms kSlice = 20;  // between looks at the budget
+    zero_ = engine_.now();
+    channel_delay_ = f.channel_delay;
+    fixture_rates_.assign(localities(), 0);
+    for (const Fixture::Server& s : f.servers) add_server(s.spec, s.address, false);
+    start_assigner(f.site.instance);
+    for (const Fixture::Proxy& p : f.proxies) {
+      fixture_rates_[p.locality] += p.rate;
+      add_proxy(p.locality, p.id, p.from, p.rate);
+    }
+    summary_.begin(zero_);
+    summary_.count_from(zero_ + f.change_at);
+    for (std::uint32_t z = 0; z < localities(); ++z) next_arrival(z);
+    if (f.script) f.script(*this);
+    if (f.change) engine_.after(f.change_at, [this, &f] { change(f); });
+    for (Ms end = zero_ + day_.length; engine_.now() < end && out_.finished;) {
+      if (f.out_of_budget()) out_.finished = false;
+      else engine_.run(std::min(end, engine_.now() + kSlice));
+    }
+    return result();
+  }
+  void change(const Fixture& f) {
+    constexpr Ms kAgain = 4;
+    AssignerRun& a = assigners_.at(f.site.instance);
+    if (!a.host->may_reconfigure(*f.change, engine_.now()))
+      return engine_.after(kAgain, [this, &f] { change(f); });
+    a.host->reconfigure(*f.change, 2, 2, engine_.now());
+    out_.changed = true;
+    soon(a);
+  }
+
   // ---- What is seen ----
   void sample() {
     if (ended_) return;
@@ -839,6 +890,8 @@
   pcg32 random_, traffic_random_;
   net::PrefixMap prefixes_;
   Links links_;
+  Ms channel_delay_ = 0;
+  std::vector<double> fixture_rates_;  // by locality
   Reporting reporting_;
   audit::Watch watch_;
   Summary summary_;
@@ -861,6 +914,7 @@
     std::vector<std::size_t> proxies;
     Ms until = 0;  // they may be others from then on
     std::size_t turn = 0;
+    std::discrete_distribution<std::size_t> by_rate{};
   };
   std::vector<Fronts> fronts_;  // by locality
   std::vector<double> shares_;  // of the classes
--- a/src/emulator/host.cpp
+++ b/src/emulator/host.cpp
@@ -29,6 +29,12 @@
   void probe_answered(EndpointId e, Outcome o, Ms took, LoadReport load, Ms now) override {
     core_.probe_answered(e, o, took, std::move(load), now);
   }
+  bool may_reconfigure(const assigner::Site& to, Ms now) const override {
+    return core_.may_reconfigure(to, now);
+  }
+  void reconfigure(const assigner::Site& to, std::uint64_t version, std::uint64_t hash, Ms now) override {
+    core_.reconfigure(to, version, hash, now);
+  }
   void turn(Ms now) override { core_.turn(now); }
   Ms next_due() const override { return core_.next_due(); }
   std::vector<assigner::Effect> take_effects() override { return core_.take_effects(); }
--- a/src/emulator/summary.cpp
+++ b/src/emulator/summary.cpp
@@ -55,6 +55,7 @@
 }
 
 void Summary::on_answer(Ms at, const Answered& a) {
+  if (at - a.took < count_from_) return;
   const RequestClass& rules = classes_[a.request_class];
   if (at - second_ >= 1000) {
     if (last_second_.count >= kFewAsked)
--- a/src/emulator/summary.h
+++ b/src/emulator/summary.h
@@ -57,6 +57,7 @@
   explicit Summary(std::vector<RequestClass> classes);
   ~Summary();
   void begin(Ms zero) { zero_ = second_ = sampled_ = zero; }  // the traffic begins
+  void count_from(Ms at) { count_from_ = at; }  // what was asked before it is not in the service
   void see(Ms at, const standin::Seen& seen);
   Sample sample(Ms at);  // what passed since the last one; what is of the instant is left to the caller
   Totals totals();       // once, at the end
@@ -76,7 +77,7 @@
   std::unique_ptr<XXH3_state_t, void (*)(XXH3_state_t*)> print_;
   Totals totals_;
   Window all_, last_second_, last_sample_;
-  Ms zero_ = 0, second_ = 0, sampled_ = 0;
+  Ms zero_ = 0, second_ = 0, sampled_ = 0, count_from_ = 0;
   std::vector<float> took_, age_;
 };
 
--- a/src/gate/prove.cpp
+++ b/src/gate/prove.cpp
@@ -16,6 +16,7 @@
 constexpr double kLeastTableLines = 8;  // or as many as there are open servers
 constexpr double kLineBytes = 40;       // on the wire, at the most
 constexpr double kHeardBytes = 96;      // of a report's line on one server, with its load figures
+constexpr double kQueued = 4;           // times a drain's own lines: others wait in the channel before them
 constexpr double kRoom = 2;             // what is offered, against the least that can be shown to be needed
 constexpr Ms kMostRound = 30000;        // until each server and proxy has been heard of once
 constexpr int kLeastMessages = 4;       // to a proxy within the span: two modules bind it, two servers drain
@@ -81,7 +82,7 @@
     Ms room = grace - p_.push_delay_most.count();
     if (path == "site.channel.delay_most" && grace > pace) value = ms(std::floor(grace - pace) - 1);
     else if (path == "site.channel.lines_per_s" && room > 0)
-      value = fmt::format("{}/s", std::ceil(kRoom * lines / room * 1000));
+      value = fmt::format("{}/s", std::ceil(kQueued * lines / room * 1000));
     else if (path == "site.channel.envelope_lines") value = fmt::format("{}", had.envelope_lines);
     refuse(
         "rule 3", path,
--- a/src/gate/shadow.h
+++ b/src/gate/shadow.h
@@ -24,14 +24,13 @@
 };
 
 struct ShadowOptions {
-  Ms settle = 2000, length = 4000;                   // simulated: before the change, after it
-  std::size_t most_proxies = 48, most_servers = 60;  // of a larger fleet a part, with its part of the channel
+  Ms settle = 2000, length = 4000;  // simulated: before the change, after it
   std::uint64_t seed = 1;
   std::function<bool()> out_of_budget = [] { return false; };
   assigner::Between between{};  // for proofs that the rehearsal's audit sees what is broken
 };
 
-// The narrow door to a model of servers and proxies: a fuller one takes this one's place.
+// The narrow door to the model of servers and proxies, which is the emulator's.
 Rehearsal rehearse(const assigner::Site& now, const assigner::Site& next, const assigner::Fleet& fleet,
                    const ShadowOptions& options);
 
