--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -10,6 +10,7 @@
 #include <ctime>
 #include <filesystem>
 #include <map>
+#include <set>
 #include <thread>
 
 #include "alerts/rules.h"
@@ -379,6 +380,10 @@
     fmt::print("day {}: {}\n", day.name, day.about);
     options.say = [](const std::string& line) { fmt::print("{}\n", line); };
   }
+  std::vector<alerts::Rule> rules;
+  for (const std::string& file : day.alert_rules)
+    for (alerts::Rule& rule : alerts::read_rules(file)) rules.push_back(std::move(rule));
+  if (!rules.empty()) options.rules = &rules;
   options.clock = base::monotonic_ms, options.sample_every = 500;
   base::Ms begun = base::monotonic_ms();
   emulator::Emulated r = emulator::emulate(day, options);
@@ -398,9 +403,19 @@
   for (const std::string& d : r.differences) fmt::print("flight record differs: {}\n", d);
   for (const std::string& line : r.refused) fmt::print("refused: {}\n", line);
   print_nearest(r.verdict);
+  bool as_expected = true;
+  if (!rules.empty()) {
+    std::set<std::string> wanted(day.alerts_expected.begin(), day.alerts_expected.end());
+    as_expected = r.alerts == wanted;
+    fmt::print("alerts: {}; as expected: {}\n",
+               r.alerts.empty() ? "none" : fmt::format("{}", fmt::join(r.alerts, ", ")),
+               as_expected ? "yes" : "no");
+  }
   bool enough = r.service >= day.expect_service;
   if (!enough) fmt::print("service {:.3f}, {} is expected\n", r.service, day.expect_service);
-  return print_kept(r.verdict) && r.differences.empty() && r.refused.empty() && enough ? kWell : kBroken;
+  return print_kept(r.verdict) && r.differences.empty() && r.refused.empty() && enough && as_expected
+             ? kWell
+             : kBroken;
 }
 
 int experiment(const ExperimentArguments& a) {
--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -65,6 +65,7 @@
     for (const day::ServerGroup& group : day_.servers)
       for (int k = 0; k < group.count; ++k) add_server(group, false);
     for (auto& [instance, z] : day_.assigners) start_assigner(instance);
+    if (options_.rules) evaluator_.emplace(*options_.rules), look_at_figures();
     engine_.after(day_.calm / 3, [this] {
       for (std::uint32_t z = 0; z < localities(); ++z)
         for (int k = 0; k < day_.proxies[z]; ++k) {
@@ -852,6 +853,26 @@
     soon(a);
   }
 
+  // ---- Figures and alerts ----
+  void look_at_figures() {
+    auto at = static_cast<std::int64_t>(wall());
+    for (auto& [instance, a] : assigners_) {
+      auto figures = a.host ? a.host->figures(engine_.now()) : std::nullopt;
+      if (!figures) continue;
+      auto [exporter, fresh] = exporters_.try_emplace({instance, a.life});
+      if (fresh)
+        exporter->second =
+            std::make_unique<telemetry::Exporter>(telemetry::Labels{{"instance", std::to_string(instance)}});
+      for (const telemetry::Point& p : exporter->second->scrape(*figures, at).points)
+        store_.add(p.labels, at, p.value);
+    }
+    for (const alerts::Alert& alert : evaluator_->look(store_, at)) {
+      out_.alerts.insert(alert.name);
+      say("alert fires: " + alert.name);
+    }
+    engine_.after(day_.metrics_interval, [this] { look_at_figures(); });
+  }
+
   // ---- What is seen ----
   void sample() {
     if (ended_) return;
@@ -896,6 +917,10 @@
   audit::Watch watch_;
   Summary summary_;
   Emulated out_;
+  std::optional<alerts::Evaluator> evaluator_;
+  alerts::Store store_;
+  std::map<std::pair<std::uint32_t, std::uint64_t>, std::unique_ptr<telemetry::Exporter>>
+      exporters_;  // by instance and life: counts begin anew with a process
   Ms decided_ = 0, decided_before_ = 0, longest_ = 0;  // real
   std::map<std::pair<std::uint32_t, std::uint32_t>, std::shared_ptr<Pod>> pods_;
   std::deque<ServerRun> servers_;
--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -4,9 +4,11 @@
 #pragma once
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "alerts/rules.h"
 #include "audit/rules.h"
 #include "day/script.h"
 #include "emulator/host.h"
@@ -46,6 +48,9 @@
   Policy policy = Policy::module;                 // a baseline in the module's place
   Ms sample_every = 0;                            // simulated time between samples; 0: none are taken
   const Fixture* fixture = nullptr;
+  // Alert rules that a receiver evaluates beside the day, each `metrics: interval` of it; null: none. There is
+  // no way of figures that could fail: what is of the receiver's own troubles is for sockets.
+  const std::vector<alerts::Rule>* rules = nullptr;
   std::function<Ms()> clock{};  // of the machine, to measure the hosts with; decides nothing
 };
 
@@ -54,6 +59,7 @@
   std::uint64_t events = 0;              // of the engine
   std::vector<std::string> differences;  // flight records that decide otherwise
   std::vector<Sample> samples;
+  std::set<std::string> alerts;           // that fired
   bool finished = true, changed = false;  // of a fixture: within the budget; it went over
   double most_waiting = 0;                // lines, at any sample
   Ms oldest_report = 0;                   // waiting in an assigner's intake, at any sample
--- a/tests/emulator/emulator_test.cpp
+++ b/tests/emulator/emulator_test.cpp
@@ -73,6 +73,18 @@
   }
 }
 
+TEST(Emulator, AlertDaysFireWhatTheyExpectAndNothingElse) {
+  std::vector<alerts::Rule> rules = alerts::read_rules("alerts/beamshunt.yml");
+  for (const char* name : {"alert-down", "alert-drain-late", "alert-list-stale", "alert-service-burn",
+                           "alert-without-server", "long/alert-service-burn-slow"}) {
+    day::Day day = day::load_day({stage(), source(fmt::format("days/{}.cue", name))});
+    Emulated e = emulate(day, {.rules = &rules});
+    EXPECT_EQ(e.alerts, std::set<std::string>(day.alerts_expected.begin(), day.alerts_expected.end()))
+        << name;
+  }
+  EXPECT_TRUE(emulate(day::load_day({stage(), source("days/quiet.cue")}), {.rules = &rules}).alerts.empty());
+}
+
 TEST(Swarm, TwoHundredDaysKeepTheRulesAndAreTheSameOnAnyNumberOfThreads) {
   SwarmResult one = swarm({stage()}, {.days = 200, .seed = 1, .threads = 1});
   SwarmResult four = swarm({stage()}, {.days = 200, .seed = 1, .threads = 4});
