--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -48,8 +48,8 @@
   Policy policy = Policy::module;                 // a baseline in the module's place
   Ms sample_every = 0;                            // simulated time between samples; 0: none are taken
   const Fixture* fixture = nullptr;
-  // Alert rules that are evaluated beside the day, each `metrics: interval` of it; null: none. No way of figures
-  // is there to fail: what is of the receiver's own troubles is for sockets.
+  // Alert rules that are evaluated beside the day, each `metrics: interval` of it; null: none. What is of a
+  // receiver's own troubles is for sockets.
   const std::vector<alerts::Rule>* rules = nullptr;
   std::function<Ms()> clock{};  // of the machine, to measure the hosts with; decides nothing
 };
