--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -285,6 +285,13 @@
   }
 }
 // The last line of a day, whatever stage it was played on.
+// Whether the day reaches the service that it expects; says so if not.
+bool enough(double service, const day::Day& day) {
+  if (service >= day.expect_service) return true;
+  fmt::print("service {:.3f}, {} is expected\n", service, day.expect_service);
+  return false;
+}
+
 bool print_kept(const audit::Verdict& verdict) {
   if (verdict.kept() == audit::kRules) {
     fmt::print("rules kept: {} of {}\n", verdict.kept(), audit::kRules);
@@ -345,9 +352,11 @@
     fmt::print("unconfigured: {}\n", v.unconfigured.empty() ? "never" : "at times");
     versions_well = v.wrong.empty() && v.unconfigured.empty() && v.taken > 0;
   }
+  bool served = enough(r.service, day);
   bool kept = print_kept(r.verdict);
-  return kept && r.differences.empty() && r.refused.empty() && figures_well && versions_well ? kWell
-                                                                                             : kBroken;
+  return kept && served && r.differences.empty() && r.refused.empty() && figures_well && versions_well
+             ? kWell
+             : kBroken;
 }
 
 namespace {
@@ -403,7 +412,7 @@
   for (const std::string& d : r.differences) fmt::print("flight record differs: {}\n", d);
   for (const std::string& line : r.refused) fmt::print("refused: {}\n", line);
   print_nearest(r.verdict);
-  bool as_expected = true;
+  bool served = enough(r.service, day), as_expected = true;
   if (!rules.empty()) {
     std::set<std::string> wanted(day.alerts_expected.begin(), day.alerts_expected.end());
     as_expected = r.alerts == wanted;
@@ -411,9 +420,7 @@
                r.alerts.empty() ? "none" : fmt::format("{}", fmt::join(r.alerts, ", ")),
                as_expected ? "yes" : "no");
   }
-  bool enough = r.service >= day.expect_service;
-  if (!enough) fmt::print("service {:.3f}, {} is expected\n", r.service, day.expect_service);
-  return print_kept(r.verdict) && r.differences.empty() && r.refused.empty() && enough && as_expected
+  return print_kept(r.verdict) && r.differences.empty() && r.refused.empty() && served && as_expected
              ? kWell
              : kBroken;
 }
