Read-through: one request writer, one spread of work, one reader of rules, one walk to lines

The load tool wrote the stand-ins' request headers a second time and drew work as clients and the emulator do; it uses standin::to_message and draw_work.

--- a/src/alerts/rules.cpp
+++ b/src/alerts/rules.cpp
@@ -252,6 +252,13 @@
   }
 }
 
+std::vector<Rule> read_rules(const std::vector<std::string>& files) {
+  std::vector<Rule> out;
+  for (const std::string& file : files)
+    for (Rule& rule : read_rules(file)) out.push_back(std::move(rule));
+  return out;
+}
+
 telemetry::Scrape all_exported() {
   telemetry::Exporter exporter(telemetry::Labels{{"instance", "0"}});
   telemetry::Figures figures;
--- a/src/alerts/rules.h
+++ b/src/alerts/rules.h
@@ -21,6 +21,7 @@
 
 // Throws std::runtime_error: "file:line: what is wrong".
 std::vector<Rule> read_rules(const std::string& file);
+std::vector<Rule> read_rules(const std::vector<std::string>& files);
 std::vector<Rule> parse_rules(const std::string& text, const std::string& name);
 // One sample of every series that the program exports, with every kind of label there is.
 telemetry::Scrape all_exported();
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -285,6 +285,10 @@
   }
 }
 // The last line of a day, whatever stage it was played on.
+std::size_t threads_or_all(std::size_t wanted) {
+  return wanted > 0 ? wanted : std::max(1u, std::thread::hardware_concurrency());
+}
+
 // Whether the day reaches the service that it expects; says so if not.
 bool enough(double service, const day::Day& day) {
   if (service >= day.expect_service) return true;
@@ -362,7 +366,7 @@
 namespace {
 
 int emulate_swarm(const EmulateArguments& a) {
-  std::size_t threads = a.threads > 0 ? a.threads : std::max(1u, std::thread::hardware_concurrency());
+  std::size_t threads = threads_or_all(a.threads);
   emulator::SwarmOptions options{
       .days = a.swarm, .seed = std::max(1ull, a.seed), .threads = threads, .sabotage = a.sabotage};
   base::Ms begun = base::monotonic_ms();
@@ -389,9 +393,7 @@
     fmt::print("day {}: {}\n", day.name, day.about);
     options.say = [](const std::string& line) { fmt::print("{}\n", line); };
   }
-  std::vector<alerts::Rule> rules;
-  for (const std::string& file : day.alert_rules)
-    for (alerts::Rule& rule : alerts::read_rules(file)) rules.push_back(std::move(rule));
+  std::vector<alerts::Rule> rules = alerts::read_rules(day.alert_rules);
   if (!rules.empty()) options.rules = &rules;
   options.clock = base::monotonic_ms, options.sample_every = 500;
   base::Ms begun = base::monotonic_ms();
@@ -448,7 +450,7 @@
     else if (said == 1 || done * kLines / all != (done - 1) * kLines / all)
       fmt::print(stderr, "{} of {} runs{}\n", done, all, left);
   };
-  std::size_t threads = a.threads > 0 ? a.threads : std::max(1u, std::thread::hardware_concurrency());
+  std::size_t threads = threads_or_all(a.threads);
   experiment::Results r = experiment::run(plan, {base + ".runs", threads, progress});
   if (on_terminal) fmt::print(stderr, "\n");
   experiment::write_results(base + ".h5", r);
@@ -516,9 +518,7 @@
 }
 
 int alerts_check(const std::vector<std::string>& files) {
-  std::vector<alerts::Rule> rules;
-  for (const std::string& file : files)
-    for (alerts::Rule& rule : alerts::read_rules(file)) rules.push_back(std::move(rule));
+  std::vector<alerts::Rule> rules = alerts::read_rules(files);
   std::vector<std::string> wrong = alerts::check_rules(rules, alerts::all_exported());
   for (const std::string& line : wrong) fmt::print("{}\n", line);
   if (wrong.empty()) fmt::print("sound: {} alerts\n", rules.size());
@@ -631,9 +631,7 @@
   standin::World world;
   set_up(world, a);
   standin::Receiver receiver(world, address(a.address, "--address"));
-  std::vector<alerts::Rule> rules;
-  for (const std::string& file : a.rules)
-    for (alerts::Rule& rule : alerts::read_rules(file)) rules.push_back(std::move(rule));
+  std::vector<alerts::Rule> rules = alerts::read_rules(a.rules);
   receiver.watch(std::move(rules), kLook, [](const alerts::Alert& alert) {
     fmt::print("firing {} since {} ms: {}\n", alert.name, alert.active_since_ms,
                alert.annotations.contains("summary") ? alert.annotations.at("summary") : "");
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -1,6 +1,7 @@
 // What the command line can do; each returns the exit code.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -57,7 +58,7 @@
   std::string shape = "constant", from;
   double rate = 100, seconds = 10, times = 3, period_s = 10, work_ms = 20, deadline_ms = 3000,
          within_ms = 500;
-  unsigned request_class = 0;
+  std::uint16_t request_class = 0;
   unsigned long long seed = 1;
   std::size_t most_open = 10000;
   bool keyed = false;
--- a/src/day/player.cpp
+++ b/src/day/player.cpp
@@ -145,13 +145,12 @@
 
   void open_receiver() {
     receiver_ = std::make_unique<Receiver>(world_, net::Address{addresses_.ip(0, 251, 1), kReceiverPort});
-    std::vector<alerts::Rule> rules;
-    for (const std::string& file : day_.alert_rules)
-      for (alerts::Rule& rule : alerts::read_rules(file)) rules.push_back(std::move(rule));
-    receiver_->watch(std::move(rules), day_.metrics_interval, [this](const alerts::Alert& a) {
-      say("alert fires: " + a.name);
-      if (std::find(alerts_.begin(), alerts_.end(), a.name) == alerts_.end()) alerts_.push_back(a.name);
-    });
+    receiver_->watch(alerts::read_rules(day_.alert_rules), day_.metrics_interval,
+                     [this](const alerts::Alert& a) {
+                       say("alert fires: " + a.name);
+                       if (std::find(alerts_.begin(), alerts_.end(), a.name) == alerts_.end())
+                         alerts_.push_back(a.name);
+                     });
   }
 
   void wait_for_joins(Ms limit) {
--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -55,6 +55,7 @@
       if (auto reason = prefixes_.add(fmt::format("{}.0.0.0/8", kFirstNet + z), z))
         throw std::runtime_error("too many localities: " + *reason);
     rate_factor_.assign(localities(), 1);
+    for (std::uint32_t z = 0; z < localities(); ++z) rates_.push_back(day::locality_rate(day_, z));
     fronts_.resize(localities());
     for (const TrafficClass& c : day_.classes) shares_.push_back(c.share);
   }
@@ -71,7 +72,7 @@
         for (int k = 0; k < day_.proxies[z]; ++k) {
           auto number = static_cast<std::uint32_t>(proxies_.size());
           add_proxy(z, number, {((kFirstNet + z) << 24) + kFirstFront + number, 9000},
-                    day::locality_rate(day_, z) / day_.proxies[z]);
+                    rates_[z] / day_.proxies[z]);
         }
     });
     engine_.run(zero_);
@@ -751,7 +752,7 @@
   // ---- Clients ----
   void next_arrival(std::uint32_t z) {
     if (ended_) return;
-    double rate = (options_.fixture ? fixture_rates_[z] : day::locality_rate(day_, z)) * rate_factor_[z];
+    double rate = rates_[z] * rate_factor_[z];
     Ms wait = rate > 0 ? std::exponential_distribution<double>(rate / 1000)(traffic_random_) : 1e9;
     constexpr Ms kLook = 200;  // a rate may change while one waits
     bool arrives = wait <= kLook;
@@ -767,7 +768,7 @@
         std::discrete_distribution<std::size_t>(shares_.begin(), shares_.end())(traffic_random_));
     const TrafficClass& c = day_.classes[a->c];
     a->locality = z, a->begun = engine_.now();
-    a->work = c.work * (0.5 + std::exponential_distribution<double>(2)(traffic_random_));
+    a->work = draw_work(c.work, traffic_random_);
     if (c.keyed) a->key = std::to_string(next_request_);
     ask(a);
   }
@@ -825,11 +826,11 @@
     constexpr Ms kSlice = 20;  // between looks at the budget
     zero_ = engine_.now();
     channel_delay_ = f.channel_delay;
-    fixture_rates_.assign(localities(), 0);
+    rates_.assign(localities(), 0);
     for (const Fixture::Server& s : f.servers) add_server(s.spec, s.address, false);
     start_assigner(f.site.instance);
     for (const Fixture::Proxy& p : f.proxies) {
-      fixture_rates_[p.locality] += p.rate;
+      rates_[p.locality] += p.rate;
       add_proxy(p.locality, p.id, p.from, p.rate);
     }
     summary_.begin(zero_);
@@ -912,7 +913,6 @@
   net::PrefixMap prefixes_;
   Links links_;
   Ms channel_delay_ = 0;
-  std::vector<double> fixture_rates_;  // by locality
   Reporting reporting_;
   audit::Watch watch_;
   Summary summary_;
@@ -934,7 +934,7 @@
   std::uint64_t list_version_ = 1, last_stream_ = 0, next_request_ = 1;
   bool list_down_ = false, ended_ = false;
   Ms list_stale_ = 0, zero_ = 0;
-  std::vector<double> rate_factor_;
+  std::vector<double> rates_, rate_factor_;  // by locality: requests a second, and what troubles make of it
   struct Fronts {
     std::vector<std::size_t> proxies;
     Ms until = 0;  // they may be others from then on
--- a/src/experiment/report.cpp
+++ b/src/experiment/report.cpp
@@ -55,15 +55,10 @@
   std::set<Policy> policies_;
 };
 
-LineChart line_chart(const Results& r, const PlotWanted& plot) {
-  Keys keys(r, plot);
-  std::size_t x = sweep_at(r, plot.x), y = figure_at(plot.y);
-  std::map<LineKey, std::map<double, std::vector<double>>> found;
-  for (const Row& row : r.rows) found[keys.of(row)][row.values[x]].push_back(row.figures[y]);
-  LineChart chart{plot.title,
-                  {sweep_label(r, plot.x), plot.log_x},
-                  {with_unit(plot.y, figure_names()[y].unit), plot.log_y},
-                  {}};
+using Points = std::map<LineKey, std::map<double, std::vector<double>>>;  // by line and x, of all seeds
+
+// Means with the band that chance gives them; one seed has none.
+void add_lines(LineChart& chart, const Keys& keys, const Points& found) {
   for (auto& [key, points] : found) {
     Line line{keys.name(key), {}, {}, {}, {}};
     for (auto& [at, values] : points) {
@@ -74,6 +69,18 @@
     }
     chart.lines.push_back(std::move(line));
   }
+}
+
+LineChart line_chart(const Results& r, const PlotWanted& plot) {
+  Keys keys(r, plot);
+  std::size_t x = sweep_at(r, plot.x), y = figure_at(plot.y);
+  Points found;
+  for (const Row& row : r.rows) found[keys.of(row)][row.values[x]].push_back(row.figures[y]);
+  LineChart chart{plot.title,
+                  {sweep_label(r, plot.x), plot.log_x},
+                  {with_unit(plot.y, figure_names()[y].unit), plot.log_y},
+                  {}};
+  add_lines(chart, keys, found);
   return chart;
 }
 
@@ -82,24 +89,15 @@
   std::size_t which = 0;
   while (which < emulator::kSeries && emulator::series_name(emulator::Series(which)).name != plot.y) ++which;
   if (which == emulator::kSeries) throw std::runtime_error("\"" + plot.y + "\" is no series");
-  std::map<LineKey, std::map<double, std::vector<double>>> found;
+  Points found;
   for (const Row& row : r.rows)
-    for (const emulator::Sample& s : row.samples) found[keys.of(row)][s.at].push_back(s.values[which]);
+    for (const emulator::Sample& s : row.samples) found[keys.of(row)][s.at / 1000].push_back(s.values[which]);
   if (found.empty()) throw std::runtime_error("the results hold no samples by time");
   LineChart chart{plot.title,
                   {"time (s)", false},
                   {with_unit(plot.y, emulator::series_name(emulator::Series(which)).unit), plot.log_y},
                   {}};
-  for (auto& [key, points] : found) {
-    Line line{keys.name(key), {}, {}, {}, {}};
-    for (auto& [at, values] : points) {
-      Estimate e = estimate(values);
-      double half = std::isfinite(e.half) ? e.half : 0;
-      line.x.push_back(at / 1000), line.y.push_back(e.mean);
-      line.low.push_back(e.mean - half), line.high.push_back(e.mean + half);
-    }
-    chart.lines.push_back(std::move(line));
-  }
+  add_lines(chart, keys, found);
   return chart;
 }
 
--- a/src/load/load.cpp
+++ b/src/load/load.cpp
@@ -1,11 +1,11 @@
 #include "load/load.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <boost/histogram.hpp>
 #include <cmath>
-#include <random>
+#include <string>
+
+#include "standin/traffic.h"
 
 namespace beamshunt::load {
 namespace {
@@ -87,15 +87,12 @@
     ++open_;
     Ms sent = base::monotonic_ms();
     out_.latest_start = std::max(out_.latest_start, sent - due);
-    http::Message m = http::request("POST", "/request");
     std::uint64_t number = ++last_;
-    m.headers.emplace_back("x-request", std::to_string(number));
-    m.headers.emplace_back("x-class", std::to_string(options_.request_class));
-    double work = options_.work * (0.5 + std::exponential_distribution<double>(2)(random_));
-    m.headers.emplace_back("x-work", fmt::format("{}", work));
-    m.headers.emplace_back("x-proxy", "0");
-    m.headers.emplace_back("x-try", "1");
-    if (options_.keyed) m.headers.emplace_back("x-key", std::to_string(number));
+    http::Message m = standin::to_message({.request = number,
+                                           .request_class = options_.request_class,
+                                           .key = options_.keyed ? std::to_string(number) : "",
+                                           .work_ms = standin::draw_work(options_.work, random_),
+                                           .number = 1});
     net::Address to = options_.to[number % options_.to.size()];
     Ms left = std::max(1.0, due + options_.deadline - sent);
     client_.ask(to, m, left, [this, due, sent](http::Client::Answer&& a) {
--- a/src/load/load.h
+++ b/src/load/load.h
@@ -18,7 +18,7 @@
   Rate rate;
   std::uint64_t seed = 1;
   Ms work = 20;  // mean, of a request
-  unsigned request_class = 0;
+  std::uint16_t request_class = 0;
   bool keyed = false;
   Ms deadline = 3000, within = 500;  // given up; what counts as in time
   std::size_t most_open = 10000;     // requests out at once; what is due beyond it counts as not sent
--- a/src/standin/traffic.cpp
+++ b/src/standin/traffic.cpp
@@ -12,6 +12,10 @@
   int tries = 0;
 };
 
+Ms draw_work(Ms mean, pcg32& random) {
+  return mean * (0.5 + std::exponential_distribution<double>(2)(random));
+}
+
 Traffic::Traffic(World& world, TrafficSpec spec, Fronts fronts)
     : world_(world), spec_(std::move(spec)), fronts_(std::move(fronts)), random_(spec_.seed) {
   rate_factor.assign(spec_.rate.size(), 1);
@@ -44,7 +48,7 @@
       asked->locality = z;
       asked->begun = world_.now();
       asked->ask.request_class = static_cast<std::uint16_t>(c);
-      asked->ask.work_ms = k.work * (0.5 + std::exponential_distribution<double>(2)(random_));
+      asked->ask.work_ms = draw_work(k.work, random_);
       if (k.keyed) asked->ask.key = std::to_string(next_request_);
       ++open_;
       ask(std::move(asked));
--- a/src/standin/traffic.h
+++ b/src/standin/traffic.h
@@ -29,6 +29,9 @@
   std::uint64_t seed = 1;
 };
 
+// A request's work about its mean: never under half of it, with a long tail.
+Ms draw_work(Ms mean, pcg32& random);
+
 class Traffic {
  public:
   // The fronts that clients of a locality know; a plain layer spreads them evenly.
