Platform channel: the assigner speaks the platform's protocol on live sockets

The log ended after joinings, with probes under way. The probes' client keeps no connection (most_idle 0), and http::Client::Link::done made an empty place in idle_ for the address all the same; the next ask to it took the last of an empty queue (Client::start). No other asker uses 0, which is why the native channel never met it. A place is now made when a connection is kept; test: HttpTest.AClientThatKeepsNoConnectionAsksAgainByAFreshOne.

--- a/src/bench/codec.cpp
+++ b/src/bench/codec.cpp
@@ -33,13 +33,6 @@
   return -1;
 }
 
-template <typename Id>
-Id find_name(const std::vector<std::string>& names, const char* what, std::string_view name) {
-  for (std::size_t i = 0; i < names.size(); ++i)
-    if (names[i] == name) return static_cast<Id>(i);
-  fail(what, "is not among the settings", name);
-}
-
 Outcome parse_outcome(std::string_view word) {
   static const std::map<std::string_view, Outcome> words = {{"delivered", Outcome::delivered},
                                                             {"app_error", Outcome::app_error},
@@ -142,13 +135,6 @@
   if (more_) throw WireError("line has more fields than its message");
 }
 
-Locality locality(const Names& names, std::string_view name) {
-  return find_name<Locality>(names.localities, "zone", name);
-}
-ClassId request_class(const Names& names, std::string_view name) {
-  return find_name<ClassId>(names.classes, "class", name);
-}
-
 Duration milliseconds(double value) { return Duration(value); }
 Time clock_time(double value) { return Time(Duration(value)); }
 
@@ -160,7 +146,7 @@
     e.started_known = at != 0;
     e.started = clock_time(at);
   }
-  e.locality = locality(names, f.text("site"));
+  e.locality = settings::locality(names, f.text("site"));
   f.text("shape");
   std::string_view state = f.text("state");
   if (state == "in_service") e.state = EndpointState::in_service;
@@ -187,7 +173,7 @@
   Event event;
   if (name == "STATS") {
     EndpointHeard e;
-    e.from = locality(names, f.text("site"));
+    e.from = settings::locality(names, f.text("site"));
     e.endpoint = task(f);
     e.tries = f.amount("many");
     e.failed = f.amount("unanswered");
@@ -198,7 +184,7 @@
   } else if (name == "USAGE") {
     ProxyUsage e;
     e.proxy = agent(f);
-    e.request_class = request_class(names, f.text("tier_class"));
+    e.request_class = settings::request_class(names, f.text("tier_class"));
     e.came = f.amount("many");
     e.unanswered = f.amount("unanswered");
     e.span = milliseconds(f.amount("span"));
@@ -220,7 +206,7 @@
   } else if (name == "STREAM_UP") {
     ProxyJoined e;
     e.proxy = agent(f);
-    e.locality = locality(names, f.text("site"));
+    e.locality = settings::locality(names, f.text("site"));
     e.usual_rate = f.absent("size") ? 0 : f.amount("size");
     e.only_standing = f.flag("flag");
     event = e;
@@ -236,7 +222,7 @@
     SliceUsage e;
     e.span = milliseconds(f.amount("span"));
     e.unanswered = f.amount("unanswered");
-    e.request_class = request_class(names, f.text("tier_class"));
+    e.request_class = settings::request_class(names, f.text("tier_class"));
     e.came = f.amount("many");
     e.slice = table(f);
     event = e;
--- a/src/bench/codec.h
+++ b/src/bench/codec.h
@@ -1,21 +1,18 @@
 // The simulator's wire, line by line: parts of a line to events, actions to lines. It only translates.
 #pragma once
 
-#include <map>
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "policy/brain.h"
+#include "settings/settings.h"
 
 namespace beamshunt::wire {
 
-// What is wrong with the input, in plain words; the session adds the number of the line.
-struct WireError : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using WireError = settings::InputError;  // the session adds the number of the line
+using settings::Names;
 
 // Reads the space-separated parts of one line in order. Every taker throws WireError naming the field.
 class Fields {
@@ -38,21 +35,12 @@
   bool more_ = false;
 };
 
-// Names of localities and classes as one instance's settings give them.
-struct Names {
-  std::vector<std::string> localities, classes;
-};
-Locality locality(const Names& names, std::string_view name);
-ClassId request_class(const Names& names, std::string_view name);
-
 using Sheet = std::vector<std::string>;  // ROW lines as they came; localities differ by instance
 ListedEndpoint parse_row(const Names& names, std::string_view line);
 // An event line other than INIT, DETACH, SHEET and ENDPOINTS, behind its instance; nullopt: unknown message.
 std::optional<Event> parse_event(const Names& names, Fields& fields);
 ListKind parse_list_kind(std::string_view word);
 
-std::pair<Settings, Names> parse_settings(std::uint64_t seed, std::string_view pairs);
-
 void append_action(std::string& out, std::string_view instance, const Action& action);
 Duration milliseconds(double value);
 Time clock_time(double milliseconds);
--- a/src/bench/session.cpp
+++ b/src/bench/session.cpp
@@ -72,9 +72,9 @@
   std::string name(f.text("i"));
   if (f.name() == "INIT") {
     std::uint64_t seed = f.whole("nonce64", UINT64_MAX);
-    auto [settings, names] = parse_settings(seed, f.rest());
+    auto [set, names] = settings::parse(seed, settings::pairs(f.rest()));
     instances_.erase(name);
-    instances_.emplace(name, Instance{std::move(names), Brain(std::move(settings)), {}});
+    instances_.emplace(name, Instance{std::move(names), Brain(std::move(set)), {}});
     return touch(name);
   }
   Instance& target = instance(name);
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -99,6 +99,7 @@
 }  // namespace
 
 int serve(const std::vector<std::string>& files, const std::string& sabotage) {
+  if (files.empty()) throw std::runtime_error("no settings are given to serve by");
   std::function<assigner::Between(const assigner::Site&)> between;
   bool no_gate = sabotage == "gate";  // every version that is sound in form is let in
   if (!sabotage.empty() && !no_gate)
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -2,11 +2,19 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
+namespace CLI {
+class App;
+}
+
 namespace beamshunt::cli {
 
+// Adds every command but `serve`, which main() has, and calls `parse` while they last.
+int with_tools(CLI::App& app, int& result, const std::function<int()>& parse);
+
 // 0: done, or all is well. 1: it ran, and what it looked for is broken. 2: it could not run: bad arguments,
 // settings, files or addresses; one line on standard error says why.
 enum Exit { kWell = 0, kBroken = 1, kUnusable = 2 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -227,12 +227,14 @@
     Answer answer{
         .failure = Failure::none, .detail = {}, .message = std::move(message), .fresh = fresh, .sent = true};
     auto tell = finish_call();
-    auto& kept = client->idle_[to];
-    if (!answer.message.keep_alive || !connection->open() || kept.size() >= client->options_.most_idle) {
+    // No place is made for connections to this address until one is kept: start() takes the last of a place.
+    auto kept = client->idle_.find(to);
+    std::size_t idle = kept == client->idle_.end() ? 0 : kept->second.size();
+    if (!answer.message.keep_alive || !connection->open() || idle >= client->options_.most_idle) {
       drop();
     } else {
       fresh = false;
-      kept.push_back(self);
+      client->idle_[to].push_back(self);
       timer = client->reactor_.at(client->reactor_.now() + client->options_.idle_ms, [this] {
         armed = false;
         auto hold = shared_from_this();
--- /dev/null
+++ b/src/platform/core.cpp
@@ -0,0 +1,440 @@
+#include "platform/core.h"
+
+#include <algorithm>
+
+#include "base/enums.h"
+
+namespace beamshunt::platform {
+namespace {
+
+using base::raw;
+
+// ---- The protocol's bounds: unit, reason ----
+constexpr std::size_t kMostOpening = 4096;        // bytes of a message before joining: all such are short
+constexpr std::size_t kMostJoined = 1048576;      // bytes of any message, by the protocol
+constexpr std::size_t kMostUnfinished = 4194304;  // bytes of all connections' begun messages together
+constexpr Ms kJoinWithin = 1000;                  // ms from connecting on; who has not joined may be closed
+constexpr Ms kLineWithin = 3000;                  // ms from a message's first byte to its last
+constexpr Ms kUpkeep = 200;                       // ms between two looks at all connections
+constexpr int kMostUnusable = 4;                  // messages in a row: such a stream is of no further use
+constexpr std::size_t kReserved = 48;             // descriptors for all else: loop, probes, discovery, files
+constexpr Ms kMarkSlack = 1000;                   // ms that an answer may take beyond the channel's longest
+constexpr Ms kSilentMost = 20000;                 // ms without an answer, where no other proxy's tells
+constexpr Ms kPassedKept = 60000;                 // ms
+constexpr Ms kWatchAgain = 1000;                  // ms, where the module leaves the list to the channel
+
+Time at(Ms ms) { return Time(Duration(ms)); }
+ClassMask bit(ClassId c) { return ClassMask{1} << raw(c); }
+
+}  // namespace
+
+Core::Core(Configuration configuration, Ms now, double wall_now) : configuration_(std::move(configuration)) {
+  if (!configuration_.known.empty()) {
+    try {
+      directory_.take(configuration_.known, configuration_.names, now, wall_now);
+    } catch (const std::runtime_error& error) {
+      log(log::Level::error, "known_list_refused", {{"reason", error.what()}});
+    }
+  }
+  start_module(now);
+}
+
+void Core::log(log::Level level, std::string event, log::Fields fields) {
+  effects_.push_back(LogLine{level, std::move(event), std::move(fields)});
+}
+
+// ---- Connections ----
+
+void Core::opened(ConnectionId id, Ms now) {
+  connections_.emplace(id, Connection{.reader = LineReader(kMostOpening), .opened = now, .heard = now});
+  opening_.push_back(id);
+  make_room();
+}
+
+// Descriptors are for who has joined: of the others the oldest goes first, for it had its time.
+void Core::make_room() {
+  std::size_t most = configuration_.sockets > 2 * kReserved ? configuration_.sockets - kReserved : kReserved;
+  while (connections_.size() > most) {
+    while (!opening_.empty()) {
+      auto c = connections_.find(opening_.front());
+      if (c != connections_.end() && c->second.is == Connection::Is::opening) break;
+      opening_.pop_front();
+    }
+    if (opening_.empty()) return;
+    auto c = connections_.find(opening_.front());
+    send(c->first, error_line("too many connections that have not joined"));
+    effects_.push_back(CloseConnection{c->first, true});
+    ++counters_.evicted;
+    end(c, "room is needed");
+  }
+}
+
+void Core::bytes(ConnectionId id, std::string_view bytes, Ms now) {
+  auto c = connections_.find(id);
+  if (c == connections_.end()) return;
+  Connection& connection = c->second;
+  connection.heard = now;
+  bool begun = connection.reader.unfinished() > 0;
+  connection.reader.push(bytes);
+  try {
+    while (std::optional<std::string> line = connection.reader.next()) {
+      begun = false;
+      if (line->find_first_not_of(" \t\r") == line->npos) continue;
+      take_line(c, *line, now);
+      if (c = connections_.find(id); c == connections_.end()) return;
+    }
+  } catch (const Unusable& fault) {
+    return refuse(c, fault.what());
+  }
+  if (!begun) connection.unfinished_since = now;
+}
+
+void Core::take_line(Connections::iterator c, std::string_view line, Ms now) {
+  Connection& connection = c->second;
+  try {
+    Message message = parse_message(line, configuration_.names, configuration_.settings.proxies);
+    std::visit([&](const auto& m) { take(c, m, now); }, message);
+    if (auto still = connections_.find(c->first); still != connections_.end()) still->second.unusable = 0;
+  } catch (const Unusable& fault) {
+    // Who has not joined gets one try; a joined stream loses what was spoilt alone, unless nothing else comes.
+    if (connection.is == Connection::Is::opening || fault.scope == Unusable::Scope::connection) throw;
+    ++counters_.spoilt;
+    log(log::Level::warning, "message_dropped",
+        {{"connection", std::to_string(raw(c->first))}, {"reason", fault.what()}});
+    if (++connection.unusable >= kMostUnusable)
+      throw Unusable(Unusable::Scope::connection, "nothing usable comes any more");
+  }
+}
+
+void Core::closed(ConnectionId id, const std::string& reason, Ms) {
+  if (auto c = connections_.find(id); c != connections_.end()) end(c, reason);
+}
+
+void Core::send(ConnectionId to, std::string bytes) {
+  effects_.push_back(SendBytes{to, std::make_shared<const std::string>(std::move(bytes))});
+}
+
+void Core::refuse(Connections::iterator c, const std::string& reason) {
+  ++counters_.refused;
+  log(log::Level::warning, "connection_refused",
+      {{"connection", std::to_string(raw(c->first))}, {"reason", reason}});
+  send(c->first, error_line(reason));
+  effects_.push_back(CloseConnection{c->first});
+  end(c, reason);
+}
+
+// What the connection stood for goes with it.
+void Core::end(Connections::iterator c, const std::string& reason) {
+  if (c->second.is == Connection::Is::proxy) {
+    ProxyId proxy = c->second.proxy;
+    log(log::Level::info, "proxy_left", {{"proxy", std::to_string(raw(proxy))}, {"reason", reason}});
+    streams_.erase(proxy);
+    open_.erase(proxy);
+    tables_->leave(proxy);
+    pending_.push_back(ProxyLeft{proxy});
+  }
+  connections_.erase(c);
+}
+
+// ---- Messages ----
+
+void Core::take(Connections::iterator c, const SignOfLife&, Ms) { send(c->first, alive_line()); }
+
+void Core::take(Connections::iterator c, const CollectorJoins& m, Ms) {
+  if (c->second.is != Connection::Is::opening)
+    throw Unusable(Unusable::Scope::message, "a second joining on one connection");
+  c->second.is = Connection::Is::collector;
+  c->second.reader.allow(kMostJoined);
+  log(log::Level::info, "collector_joined", {{"locality", configuration_.names.localities[raw(m.locality)]}});
+}
+
+void Core::take(Connections::iterator c, const ProxyJoins& m, Ms) {
+  if (c->second.is != Connection::Is::opening)
+    throw Unusable(Unusable::Scope::message, "a second joining on one connection");
+  // The proxy dialled again before the end of its former stream was seen: that one is a ghost.
+  if (auto former = streams_.find(m.proxy); former != streams_.end()) {
+    effects_.push_back(CloseConnection{former->second, true});
+    end(connections_.find(former->second), "the proxy has a newer stream");
+  }
+  Connection& connection = c->second;
+  connection.is = Connection::Is::proxy;
+  connection.proxy = m.proxy;
+  connection.reader.allow(kMostJoined);
+  streams_[m.proxy] = c->first;
+  tables_->join(m.proxy);
+  log(log::Level::info, "proxy_joined",
+      {{"proxy", std::to_string(raw(m.proxy))}, {"connection", std::to_string(raw(c->first))}});
+  pending_.push_back(ProxyJoined{m.proxy, m.locality, m.usual_rate, m.only_standing});
+}
+
+void Core::take(Connections::iterator c, const MarkApplied& m, Ms now) {
+  Connection& connection = c->second;
+  if (connection.is != Connection::Is::proxy || connection.proxy != m.proxy)
+    throw Unusable(Unusable::Scope::message, "an answer to a mark that is not of this stream's proxy");
+  auto hit = std::find_if(connection.marks.begin(), connection.marks.end(),
+                          [&](const Mark& mark) { return mark.serial == m.mark; });
+  if (hit == connection.marks.end())
+    throw Unusable(Unusable::Scope::message, "an answer to a mark that does not wait for one");
+  if (passed_.empty() || hit->order > passed_.back().first) passed_.emplace_back(hit->order, now);
+  confirm(connection, static_cast<std::size_t>(hit - connection.marks.begin()) + 1, now);
+}
+
+void Core::confirm(Connection& c, std::size_t marks, Ms now) {
+  for (; marks > 0; --marks, c.marks.pop_front())
+    pending_.push_back(OrderApplied{c.proxy, Duration(now - c.marks.front().sent), c.marks.front().serial});
+}
+
+void Core::take(Connections::iterator c, const TriesHeard& m, Ms) {
+  if (c->second.is == Connection::Is::opening)
+    throw Unusable(Unusable::Scope::connection, "a report before a joining");
+  auto endpoint = directory_.find(m.uid);
+  if (!endpoint) throw Unusable(Unusable::Scope::message, "endpoint " + m.uid + " was never listed");
+  ++counters_.reports;
+  pending_.push_back(
+      EndpointHeard{m.from, *endpoint, m.tries, m.failed, Duration(m.latency), Duration(m.span), m.load});
+}
+
+void Core::take(Connections::iterator c, const UsageHeard& m, Ms) {
+  if (c->second.is == Connection::Is::opening)
+    throw Unusable(Unusable::Scope::connection, "a report before a joining");
+  if (c->second.is == Connection::Is::proxy && c->second.proxy != m.proxy)
+    throw Unusable(Unusable::Scope::message, "a report of another proxy than this stream's");
+  ++counters_.reports;
+  if (streams_.contains(m.proxy))
+    pending_.push_back(ProxyUsage{m.proxy, m.request_class, m.came, m.unanswered, Duration(m.span)});
+}
+
+// ---- List and probes ----
+
+void Core::list_object(std::string_view json, Ms now, double wall_now) {
+  Directory::Told told;
+  try {
+    told = directory_.take(json, configuration_.names, now, wall_now);
+  } catch (const std::runtime_error& error) {
+    log(log::Level::error, "list_refused", {{"reason", error.what()}});
+    return;
+  }
+  for (const std::string& fault : told.faults)
+    log(log::Level::warning, "list_entry_unusable", {{"reason", fault}});
+  log(log::Level::info, "list_taken",
+      {{"version", std::to_string(directory_.version())},
+       {"all", told.list.kind == ListKind::total ? "yes" : "no"},
+       {"entries", std::to_string(told.list.entries.size())}});
+  pending_.push_back(std::move(told.list));
+}
+
+void Core::list_lost(const std::string& reason, Ms now) {
+  watching_ = false;
+  watch_at_ = now + kWatchAgain;
+  log(log::Level::warning, "list_lost", {{"reason", reason}});
+  pending_.push_back(EndpointList{ListKind::lost, {}});
+}
+
+void Core::watch() {
+  watching_ = true;
+  effects_.push_back(OpenWatch{configuration_.discovery, directory_.version()});
+}
+
+void Core::probe_answered(EndpointId endpoint, Outcome outcome, Ms took, std::string_view body) {
+  pending_.push_back(ProbeResult{endpoint, outcome, Duration(took), parse_load(body)});
+}
+
+// ---- The module and its orders ----
+
+void Core::start_module(Ms now) {
+  brain_ = std::make_unique<Brain>(configuration_.settings);
+  tables_ = std::make_unique<orders::Tables>(configuration_.settings.classes.size());
+  pending_.clear(), timers_.clear();
+  pending_.push_back(EndpointList{ListKind::warm_copy, directory_.all()});
+  watch_at_ = now;
+}
+
+void Core::reconfigure(Configuration next, Ms now, double) {
+  bool moved = next.discovery != configuration_.discovery, other = next.values != configuration_.values;
+  next.listen = configuration_.listen;
+  configuration_ = std::move(next);
+  log(log::Level::info, "configuration_taken",
+      {{"discovery", net::to_string(configuration_.discovery)}, {"fresh_module", other ? "yes" : "no"}});
+  if (moved) watch();
+  make_room();
+  if (!other) return;
+  // Classes and localities may be others, and the streams' joinings named the former ones: they dial again.
+  while (!streams_.empty()) refuse(connections_.find(streams_.begin()->second), "the settings have changed");
+  start_module(now);
+}
+
+void Core::act(const std::vector<Action>& actions, Ms now) {
+  std::optional<std::uint32_t> mark;
+  auto write_to = [this](ProxyId proxy, const orders::Order& order) { write(proxy, order); };
+  struct Doing {
+    Core& core;
+    std::optional<std::uint32_t>& mark;
+    const orders::Tables::Write write;
+    void operator()(const WatchList& x) {
+      if (!x.on) core.watching_ = false, core.effects_.push_back(CloseWatch{});
+      else if (!core.watching_) core.watch();  // one that lives tells all that a new one would
+    }
+    void operator()(const FetchList&) {
+      core.effects_.push_back(FetchTheList{core.configuration_.discovery});
+    }
+    void operator()(const SetTimer& x) { core.timers_.emplace(x.at.time_since_epoch().count(), x.token); }
+    void operator()(const Probe& x) {
+      if (auto address = core.directory_.address(x.endpoint))
+        core.effects_.push_back(
+            AskEndpoint{x.endpoint, *address, core.configuration_.settings.reports_by_probe});
+      else core.probe_answered(x.endpoint, Outcome::dial_failed, 0, {});
+    }
+    void operator()(const SendPeer&) {}  // the platform has no such messages
+    void operator()(const SetLine& x) { core.tables_->apply(x, write); }
+    void operator()(const ResetTable& x) { core.tables_->apply(x, write); }
+    void operator()(const Bind& x) { core.tables_->apply(x, write); }
+    void operator()(const Withdraw& x) { core.tables_->apply(x, write); }
+    void operator()(const Admit& x) { core.tables_->apply(x, write); }
+    void operator()(const Barrier& x) {
+      mark = x.serial;
+      if (x.everyone)
+        for (auto& [proxy, stream] : core.streams_) core.open_[proxy];
+    }
+    void operator()(const Remark& x) { core.log(log::Level::info, "module", {{"text", x.text}}); }
+    void operator()(const DeclareFault& x) {
+      core.log(log::Level::error, "module_fault", {{"text", x.text}});
+    }
+  };
+  Doing doing{*this, mark, write_to};
+  for (const Action& action : actions) std::visit(doing, action);
+  send_messages(mark, now);
+}
+
+// A part that may take one more order for `classes`: not past a later part that such an order would overtake.
+template <typename Fits, typename Blocks>
+static Part& part_for(std::vector<Part>& parts, ClassMask classes, Fits fits, Blocks blocks) {
+  for (auto p = parts.rbegin(); p != parts.rend(); ++p) {
+    if (p->classes == classes && fits(*p)) return *p;
+    if ((p->classes & classes) != 0 && blocks(*p)) break;
+  }
+  parts.emplace_back().classes = classes;
+  return parts.back();
+}
+
+void Core::write_levels(ProxyId proxy, TableId table, ClassMask classes) {
+  for (std::uint32_t c = 0; (classes >> c) != 0; ++c) {
+    auto level = classes >> c & 1 ? tables_->effective(table, ClassId{c}) : std::nullopt;
+    if (!level) continue;
+    Part& part = part_for(
+        open_[proxy], bit(ClassId{c}), [](const Part&) { return true; },
+        [](const Part& p) { return p.replace || p.level; });
+    part.level = {level->first, static_cast<int>(level->second)};
+  }
+}
+
+void Core::write(ProxyId proxy, const orders::Order& order) {
+  struct Writing {
+    Core& core;
+    ProxyId proxy;
+    std::vector<Part>& parts;
+    void operator()(const orders::BindTo& x) { parts.push_back(Part{.classes = x.classes, .replace = true}); }
+    void operator()(const orders::EmptyTable& x) {
+      ClassMask classes = core.tables_->bound(proxy, x.table);
+      parts.push_back(Part{.classes = classes, .replace = true});
+      core.write_levels(proxy, x.table, classes);  // what holds for all tables outlives the table's own
+    }
+    void operator()(const orders::LineOf& x) {
+      const std::string* uid = core.directory_.uid(x.endpoint);
+      if (!uid) return;
+      Part& part = part_for(
+          parts, core.tables_->bound(proxy, x.table), [](const Part&) { return true; },
+          [](const Part& p) { return p.replace || !p.rows.empty(); });
+      auto same = std::find_if(part.rows.begin(), part.rows.end(), [&](auto& r) { return r.first == *uid; });
+      if (same != part.rows.end()) same->second = x.weight;
+      else part.rows.emplace_back(*uid, x.weight);
+    }
+    void operator()(const orders::LevelOf& x) {
+      if (!x.every_table)
+        return core.write_levels(proxy, x.table, x.classes & core.tables_->bound(proxy, x.table));
+      for (TableId table : core.tables_->used_by(proxy))
+        core.write_levels(proxy, table, x.classes & core.tables_->bound(proxy, table));
+    }
+    void operator()(const orders::ShutOut& x) {
+      if (const std::string* uid = core.directory_.uid(x.endpoint)) {
+        Part& part = parts.emplace_back();
+        (x.withdrawn ? part.drop : part.undrop).push_back(*uid);
+      }
+    }
+  };
+  std::visit(Writing{*this, proxy, open_[proxy]}, order);
+}
+
+void Core::send_messages(std::optional<std::uint32_t> mark, Ms now) {
+  for (auto& [proxy, parts] : open_) {
+    auto stream = streams_.find(proxy);
+    if (stream == streams_.end()) continue;
+    ++counters_.messages;
+    counters_.lines += static_cast<std::uint64_t>(count_lines(parts, mark.has_value()));
+    if (mark) connections_.at(stream->second).marks.push_back({*mark, ++last_order_, now});
+    send(stream->second, push_lines(std::move(parts), mark, configuration_.names));
+  }
+  open_.clear();
+}
+
+// ---- Time ----
+
+// The channel is one queue: once a later message has been answered, an earlier one has left it too, and what
+// travels takes late_most at the longest. However slow the channel is on a day, the comparison holds.
+bool Core::mark_overdue(const Mark& mark, Ms now) const {
+  auto passed = std::upper_bound(passed_.begin(), passed_.end(), mark.order,
+                                 [](std::uint64_t order, auto& p) { return order < p.first; });
+  if (passed == passed_.end()) return now > mark.sent + kSilentMost;
+  return now > passed->second + configuration_.settings.push_delay_most.count() + kMarkSlack;
+}
+
+void Core::upkeep(Ms now) {
+  next_upkeep_ = now + kUpkeep;
+  while (passed_.size() > 1 && passed_.front().second < now - kPassedKept) passed_.pop_front();
+  std::size_t unfinished = 0;
+  for (auto next = connections_.begin(); next != connections_.end();) {
+    auto c = next++;  // `c` may end here
+    Connection& connection = c->second;
+    if (connection.is == Connection::Is::opening && now >= connection.opened + kJoinWithin) {
+      refuse(c, "nobody has joined in time");
+      continue;
+    }
+    unfinished += connection.reader.unfinished();
+    if (connection.reader.unfinished() > 0 &&
+        (now >= connection.unfinished_since + kLineWithin || unfinished > kMostUnfinished)) {
+      refuse(c, "a message does not end");
+      continue;
+    }
+    while (!connection.marks.empty() && mark_overdue(connection.marks.front(), now)) {
+      // The message is through, so its lines must leave the module's account, or they would hold up everybody.
+      bool lives = connection.heard > connection.marks.front().sent;
+      ++counters_.unanswered_marks;
+      if (!lives) break;
+      confirm(connection, 1, now);
+    }
+    if (!connection.marks.empty() && mark_overdue(connection.marks.front(), now)) {
+      ++counters_.silent;
+      effects_.push_back(CloseConnection{c->first, true});
+      end(c, "silent");
+    }
+  }
+}
+
+void Core::turn(Ms now) {
+  if (now >= next_upkeep_) upkeep(now);
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    pending_.push_back(TimerFired{timers_.begin()->second});
+    timers_.erase(timers_.begin());
+  }
+  if (!configuration_.settings.list_on_request && !watching_ && now >= watch_at_) watch();
+  if (pending_.empty()) return;
+  act(brain_->handle(at(now), std::exchange(pending_, {})), now);
+}
+
+Ms Core::next_due() const {
+  if (!pending_.empty()) return 0;
+  Ms due = next_upkeep_;
+  if (!timers_.empty()) due = std::min(due, timers_.begin()->first);
+  return due;
+}
+
+}  // namespace beamshunt::platform
--- /dev/null
+++ b/src/platform/service.cpp
@@ -0,0 +1,224 @@
+#include "platform/service.h"
+
+#include <csignal>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <unordered_map>
+
+#include "base/file.h"
+#include "base/time.h"
+#include "http/server.h"
+#include "log/log.h"
+#include "net/reactor.h"
+#include "platform/core.h"
+
+namespace beamshunt::platform {
+namespace {
+
+// ---- Bounds of the sockets: unit, reason ----
+constexpr Ms kConnectMost = 1000;             // ms to discovery, on the same network
+constexpr Ms kListQuiet = 4500;               // ms; a watch's empty lines come every 2 s: two are missing
+constexpr Ms kProbeWithin = 500;              // ms for an endpoint to answer, the connection included
+constexpr std::size_t kMostProbes = 16;       // at a time: a descriptor each
+constexpr std::size_t kMostProbesDue = 1024;  // that wait for one of those; more are not asked
+constexpr std::size_t kMostUnsent = 1048576;  // bytes that a proxy leaves unread before it is given up
+constexpr std::size_t kMostATurn = 65536;     // bytes read from one connection in a turn
+constexpr std::size_t kMostListBytes = 4 * 1048576;  // of one object of discovery
+constexpr std::size_t kMostLeaving = 8;  // closed connections that may still take their time to read why
+
+Configuration read_configuration(const std::string& file) {
+  auto bytes = base::read_file(file);
+  if (!bytes) throw std::runtime_error("configuration " + file + ": there is no such file");
+  try {
+    return parse_configuration(*bytes);
+  } catch (const std::runtime_error& error) {
+    throw std::runtime_error("configuration " + file + ": " + error.what());
+  }
+}
+
+class Service {
+ public:
+  Service(std::string file, bool verbose)
+      : file_(std::move(file)),
+        log_("", verbose ? log::Level::debug : log::Level::info),
+        core_(read_configuration(file_), reactor_.now(), base::wall_ms()),
+        client_(reactor_, {.connect_ms = kConnectMost, .most_idle = 0, .limits = {.body = kMostListBytes}}) {
+    listener_ = std::make_unique<net::Listener>(
+        reactor_, core_.configuration().listen, [this](auto c) { accept(std::move(c)); },
+        net::ConnectionOptions{.most_unsent = kMostUnsent, .most_a_turn = kMostATurn});
+    for (int signal : {SIGTERM, SIGINT}) reactor_.on_signal(signal, [this] { reactor_.stop(); });
+    reactor_.on_signal(SIGHUP, [this] { reload(); });
+    log_.write(log::Level::info, "serving",
+               {{"name", core_.configuration().name}, {"listen", net::to_string(listener_->address())}});
+    soon();
+  }
+
+  void run() {
+    reactor_.run();
+    log_.write(log::Level::info, "stopped");
+  }
+
+ private:
+  // ---- The core's turns: once a turn of the loop, after all that came in it ----
+  void soon() {
+    if (std::exchange(turn_due_, true)) return;
+    reactor_.defer([this] { turn(); });
+  }
+  void turn() {
+    turn_due_ = false;
+    core_.turn(reactor_.now());
+    for (Effect& effect : core_.take_effects()) std::visit([this](auto& e) { carry_out(e); }, effect);
+    if (timer_) reactor_.cancel(*timer_);
+    timer_ = reactor_.at(core_.next_due(), [this] { timer_.reset(), soon(); });
+  }
+
+  void accept(std::shared_ptr<net::Connection> connection) {
+    ConnectionId id{++last_connection_};
+    connections_[id] = connection;
+    core_.opened(id, reactor_.now());
+    connection->start({{},
+                       [this, id](std::string_view bytes) {
+                         core_.bytes(id, bytes, reactor_.now());
+                         soon();
+                       },
+                       {},
+                       [this, id](net::CloseReason reason) {
+                         connections_.erase(id);
+                         core_.closed(id, net::reason_name(reason), reactor_.now());
+                         soon();
+                       }});
+    soon();
+  }
+
+  // ---- Effects ----
+  void carry_out(SendBytes& e) {
+    if (auto c = connections_.find(e.to); c != connections_.end()) c->second->send(std::move(e.bytes));
+  }
+  void carry_out(CloseConnection& e) {
+    auto c = connections_.extract(e.connection);
+    if (c.empty()) return;
+    std::erase_if(leaving_, [](auto& l) { return l.expired(); });
+    // Closed with bytes unread, a connection is reset, and its peer may never see why: it gets a moment, but
+    // not so many at a time that their descriptors are missed.
+    if (e.at_once || leaving_.size() >= kMostLeaving) return c.mapped()->close();
+    leaving_.push_back(c.mapped());
+    c.mapped()->close_after_sending();
+  }
+  void carry_out(OpenWatch& e) {
+    std::uint64_t number = ++last_watch_;
+    auto begun = std::make_shared<std::string>();  // a line that has not ended
+    watches_[number] = client_.listen(
+        e.discovery, http::request("GET", "/api/targets?watch=1&from=" + std::to_string(e.from)), kListQuiet,
+        [this, number, begun](std::string_view piece) {
+          if (!watches_.contains(number)) return;
+          // The new watch tells: those before it have done their service.
+          while (watches_.begin()->first < number) drop_watch(watches_.begin()->first);
+          begun->append(piece);
+          std::size_t from = 0;
+          for (std::size_t end; (end = begun->find('\n', from)) != begun->npos; from = end + 1)
+            if (std::string_view line = std::string_view(*begun).substr(from, end - from);
+                line.find_first_not_of(" \r") != line.npos)
+              core_.list_object(line, reactor_.now(), base::wall_ms());
+          begun->erase(0, from);
+          if (begun->size() > kMostListBytes) lose_watch(number, "an object is too long");
+          soon();
+        },
+        [this, number](http::Client::Answer&& answer) {
+          if (watches_.contains(number))
+            lose_watch(number, answer.failure == http::Client::Failure::none
+                                   ? "the watch ended with status " + std::to_string(answer.message.status)
+                                   : answer.detail);
+        });
+  }
+  void drop_watch(std::uint64_t number) {
+    if (auto watch = watches_.extract(number); !watch.empty()) client_.cancel(watch.mapped());
+  }
+  void lose_watch(std::uint64_t number, const std::string& reason) {
+    drop_watch(number);
+    // While a former one lives, or a newer one is on its way, the list is not lost for that.
+    if (watches_.empty()) core_.list_lost(reason, reactor_.now());
+    soon();
+  }
+  void carry_out(CloseWatch&) {
+    while (!watches_.empty()) drop_watch(watches_.begin()->first);
+  }
+  void carry_out(FetchTheList& e) {
+    client_.ask(e.discovery, http::request("GET", "/api/targets"), kListQuiet,
+                [this](http::Client::Answer&& answer) {
+                  if (answer.failure == http::Client::Failure::none && answer.message.status == 200)
+                    core_.list_object(answer.message.body, reactor_.now(), base::wall_ms());
+                  else core_.list_lost("fetch failed: " + answer.detail, reactor_.now());
+                  soon();
+                });
+  }
+  void carry_out(AskEndpoint& e) {
+    if (due_.size() < kMostProbesDue) due_.push_back(e);
+    probe();
+  }
+  void probe() {
+    for (; asked_ < kMostProbes && !due_.empty(); due_.pop_front()) {
+      ++asked_;
+      Ms begun = reactor_.now();
+      client_.ask(
+          due_.front().address, http::request("GET", due_.front().for_load ? "/-/load" : "/-/healthy"),
+          kProbeWithin, [this, begun, endpoint = due_.front().endpoint](http::Client::Answer&& answer) {
+            --asked_;
+            core_.probe_answered(endpoint, outcome_of(answer), reactor_.now() - begun, answer.message.body);
+            probe();
+            soon();
+          });
+    }
+  }
+  static Outcome outcome_of(const http::Client::Answer& answer) {
+    switch (answer.failure) {
+      case http::Client::Failure::connect:
+        return Outcome::dial_failed;
+      case http::Client::Failure::timed_out:
+        return Outcome::expired;
+      case http::Client::Failure::broken:
+        return Outcome::dropped;
+      case http::Client::Failure::malformed:
+        return Outcome::app_error;
+      case http::Client::Failure::none:
+        break;
+    }
+    if (answer.message.status == 200) return Outcome::delivered;
+    return answer.message.status == 503 ? Outcome::shed : Outcome::app_error;
+  }
+  void carry_out(LogLine& e) { log_.write(e.level, e.event, e.fields); }
+
+  void reload() {
+    try {
+      core_.reconfigure(read_configuration(file_), reactor_.now(), base::wall_ms());
+    } catch (const std::exception& error) {  // what runs goes on as it is
+      log_.write(log::Level::error, "configuration_refused", {{"reason", error.what()}});
+    }
+    soon();
+  }
+
+  std::string file_;
+  net::Reactor reactor_;
+  log::Log log_;
+  Core core_;
+  http::Client client_;
+  std::unique_ptr<net::Listener> listener_;
+  std::unordered_map<ConnectionId, std::shared_ptr<net::Connection>> connections_;
+  std::deque<std::weak_ptr<net::Connection>> leaving_;
+  std::map<std::uint64_t, http::Client::Call> watches_;  // by number; the newest is what counts
+  std::deque<AskEndpoint> due_;
+  std::size_t asked_ = 0;
+  std::uint64_t last_connection_ = 0, last_watch_ = 0;
+  bool turn_due_ = false;
+  std::optional<net::Reactor::TimerId> timer_;
+};
+
+}  // namespace
+
+void serve(const std::string& file, bool verbose) {
+  net::Reactor::block_signals({SIGTERM, SIGINT, SIGHUP});  // before the log's thread
+  Service(file, verbose).run();
+}
+
+}  // namespace beamshunt::platform
--- a/src/bench/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,30 +1,26 @@
-// The settings of INIT: path=value pairs to Settings. Unknown keys are skipped; a needed one that is missing
-// is an error that names it.
+#include "settings/settings.h"
+
 #include <charconv>
 #include <cmath>
+#include <initializer_list>
 
-#include "bench/codec.h"
-
-namespace beamshunt::wire {
+namespace beamshunt::settings {
 namespace {
 
+template <typename Id>
+Id find_name(const std::vector<std::string>& names, const char* what, std::string_view name) {
+  for (std::size_t i = 0; i < names.size(); ++i)
+    if (names[i] == name) return static_cast<Id>(i);
+  throw InputError(std::string(what) + " is not among the settings: '" + std::string(name) + "'");
+}
+
 class Pairs {
  public:
-  explicit Pairs(std::string_view text) {
-    while (!text.empty()) {
-      std::size_t space = text.find(' ');
-      std::string_view pair = text.substr(0, space);
-      text = space == std::string_view::npos ? std::string_view{} : text.substr(space + 1);
-      std::size_t equals = pair.find('=');
-      if (equals == std::string_view::npos || equals == 0)
-        throw WireError("setting is not path=value: '" + std::string(pair) + "'");
-      values_[std::string(pair.substr(0, equals))] = std::string(pair.substr(equals + 1));
-    }
-  }
+  explicit Pairs(const Values& values) : values_(values) {}
 
   const std::string& text(const std::string& key) const {
     auto found = values_.find(key);
-    if (found == values_.end()) throw WireError("setting " + key + " is missing");
+    if (found == values_.end()) throw InputError("setting " + key + " is missing");
     return found->second;
   }
   bool has(const std::string& key) const { return values_.contains(key); }
@@ -34,18 +30,18 @@
     double value = 0;
     auto [end, error] = std::from_chars(word.data(), word.data() + word.size(), value);
     if (error != std::errc{} || end != word.data() + word.size() || !std::isfinite(value) || value < 0)
-      throw WireError("setting " + key + " is not a number of 0 or more: '" + word + "'");
+      throw InputError("setting " + key + " is not a number of 0 or more: '" + word + "'");
     return value;
   }
   double number_or(const std::string& key, double otherwise) const {
     return has(key) ? number(key) : otherwise;
   }
-  Duration duration(const std::string& key) const { return milliseconds(number(key)); }
+  Duration duration(const std::string& key) const { return Duration(number(key)); }
   std::uint64_t count(const std::string& key, std::uint64_t most) const {
     double value = number(key);
     if (value != std::floor(value) || value > static_cast<double>(most))
-      throw WireError("setting " + key + " is not a whole number up to " + std::to_string(most) + ": '" +
-                      text(key) + "'");
+      throw InputError("setting " + key + " is not a whole number up to " + std::to_string(most) + ": '" +
+                       text(key) + "'");
     return static_cast<std::uint64_t>(value);
   }
   bool flag(const std::string& key) const { return to_flag(key, text(key)); }
@@ -67,17 +63,17 @@
     const std::string& word = text(key);
     for (const auto& [name, value] : choices)
       if (word == name) return value;
-    throw WireError("setting " + key + " is unknown: '" + word + "'");
+    throw InputError("setting " + key + " is unknown: '" + word + "'");
   }
 
   static bool to_flag(const std::string& key, const std::string& word) {
     if (word == "true" || word == "1") return true;
     if (word == "false" || word == "0") return false;
-    throw WireError("setting " + key + " is neither true nor false: '" + word + "'");
+    throw InputError("setting " + key + " is neither true nor false: '" + word + "'");
   }
 
  private:
-  std::map<std::string, std::string> values_;
+  const Values& values_;
 };
 
 RequestClass parse_class(const Pairs& p, const std::string& at) {
@@ -98,11 +94,32 @@
 
 }  // namespace
 
-std::pair<Settings, Names> parse_settings(std::uint64_t seed, std::string_view text) {
+Locality locality(const Names& names, std::string_view name) {
+  return find_name<Locality>(names.localities, "zone", name);
+}
+ClassId request_class(const Names& names, std::string_view name) {
+  return find_name<ClassId>(names.classes, "class", name);
+}
+
+Values pairs(std::string_view text) {
+  Values out;
+  while (!text.empty()) {
+    std::size_t space = text.find(' ');
+    std::string_view pair = text.substr(0, space);
+    text = space == std::string_view::npos ? std::string_view{} : text.substr(space + 1);
+    std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos || equals == 0)
+      throw InputError("setting is not path=value: '" + std::string(pair) + "'");
+    out[std::string(pair.substr(0, equals))] = std::string(pair.substr(equals + 1));
+  }
+  return out;
+}
+
+std::pair<Settings, Names> parse(std::uint64_t seed, const Values& values) {
   constexpr std::uint64_t kMostClasses = 63;  // a mask of classes fits 64 bits
   constexpr std::uint64_t kMostSlices = 65535;
   constexpr std::uint64_t kMostPushes = 1000000000;
-  Pairs p(text);
+  Pairs p(values);
   Settings s;
   Names names;
   s.seed = seed;
@@ -141,8 +158,8 @@
   s.push_delay_most = p.duration("family_info.late_most");
   s.period = p.duration("family_info.period");
   s.empty_for = p.duration("family_info.empty_for");
-  s.lease = milliseconds(p.number_or("family_info.tenure", 0));
-  s.settle = milliseconds(p.number_or("family_info.settle", 0));
+  s.lease = Duration(p.number_or("family_info.tenure", 0));
+  s.settle = Duration(p.number_or("family_info.settle", 0));
   s.must_ask_in = s.list_on_request ? p.duration("guarantees.must_ask_in") : Duration{};
   s.drain_grace = p.duration("guarantees.drain_grace");
   s.warm_up = p.duration("guarantees.warm_up");
@@ -153,4 +170,4 @@
   return {std::move(s), std::move(names)};
 }
 
-}  // namespace beamshunt::wire
+}  // namespace beamshunt::settings
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -33,6 +33,17 @@
   bool expired = false;
 };
 
+// A client that keeps no connection once looked for one where none had been kept, and crashed.
+TEST_F(HttpTest, AClientThatKeepsNoConnectionAsksAgainByAFreshOne) {
+  Server server(reactor, {0x7f000001, 0}, [&](Message&&, Responder r) { r.send(response(200, "1")); }, {});
+  Client client(reactor, {.most_idle = 0});
+  for (int k = 0; k < 3; ++k) {
+    Client::Answer answer = ask(client, server.address(), "/");
+    EXPECT_EQ(answer.failure, Client::Failure::none);
+    EXPECT_TRUE(answer.fresh);
+  }
+}
+
 TEST_F(HttpTest, AnswersInOrderThoughLaterOnesAreReadyFirst) {
   std::vector<std::pair<std::string, Responder>> held;
   Server server(reactor, {0x7f000001, 0},
