Load reports by the settings' names are read; failures in a row eject where tries are few

A trace of the answers: "TEXT utilization=0, backlog=0". note_load() in platform/message.cpp knew the protocol page's shorter names alone. Both are read now. Failures in a row since the last good answer do not fade; they count once a report that was due brought no good one, and where chance at the others' rate is under 0.001.

Tests: LoadReport, Message, Health.AServerThatFailsAllOfItsFewTries..., each seen to fail with its fix undone.

--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -1,5 +1,7 @@
 #include "platform/core.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "base/enums.h"
@@ -20,6 +22,7 @@
 constexpr std::size_t kReserved = 48;             // descriptors for all else: loop, probes, discovery, files
 constexpr Ms kMarkSlack = 1000;                   // ms that an answer may take beyond the channel's longest
 constexpr Ms kSilentMost = 20000;                 // ms without an answer, where no other proxy's tells
+constexpr Ms kViewEach = 1000;                    // ms between two accounts of all endpoints
 constexpr Ms kPassedKept = 60000;                 // ms
 constexpr Ms kWatchAgain = 1000;                  // ms, where the module leaves the list to the channel
 
@@ -28,7 +31,8 @@
 
 }  // namespace
 
-Core::Core(Configuration configuration, Ms now, double wall_now) : configuration_(std::move(configuration)) {
+Core::Core(Configuration configuration, Ms now, double wall_now, bool verbose)
+    : configuration_(std::move(configuration)), verbose_(verbose) {
   if (!configuration_.known.empty()) {
     try {
       directory_.take(configuration_.known, configuration_.names, now, wall_now);
@@ -190,6 +194,10 @@
   auto endpoint = directory_.find(m.uid);
   if (!endpoint) throw Unusable(Unusable::Scope::message, "endpoint " + m.uid + " was never listed");
   ++counters_.reports;
+  if (verbose_) {
+    View& v = view_[*endpoint];
+    v.tries += m.tries, v.failed += m.failed, v.latency += m.latency * (m.tries - m.failed);
+  }
   pending_.push_back(
       EndpointHeard{m.from, *endpoint, m.tries, m.failed, Duration(m.latency), Duration(m.span), m.load});
 }
@@ -236,7 +244,15 @@
 }
 
 void Core::probe_answered(EndpointId endpoint, Outcome outcome, Ms took, std::string_view body) {
-  pending_.push_back(ProbeResult{endpoint, outcome, Duration(took), parse_load(body)});
+  LoadReport load = parse_load(body);
+  if (verbose_) {
+    constexpr const char* kOutcomes[] = {"delivered",   "app_error", "shed",    "expired",
+                                         "dial_failed", "dropped",   "revoked", "unused"};
+    View& v = view_[endpoint];
+    v.probe = kOutcomes[raw(outcome)];
+    if (auto busy = load.find("utilization"); busy != load.end()) v.busy = busy->second;
+  }
+  pending_.push_back(ProbeResult{endpoint, outcome, Duration(took), std::move(load)});
 }
 
 // ---- The module and its orders ----
@@ -419,8 +435,32 @@
   }
 }
 
+void Core::note_view(Ms now) {
+  next_view_ = now + kViewEach;
+  log::Fields seen;
+  for (const ListedEndpoint& e : directory_.all()) {
+    View& v = view_[e.id];
+    double share = 0, answered = v.tries - v.failed;  // of the lines of all tables in use
+    for (auto& [id, table] : tables_->all()) {
+      double all = 0;
+      for (auto& [endpoint, weight] : table.lines) all += weight;
+      if (auto line = table.lines.find(e.id); line != table.lines.end() && !table.users.empty())
+        share += line->second / all;
+    }
+    seen.emplace_back(
+        *directory_.uid(e.id),
+        fmt::format("{} {}: {:.0f} tries, {:.0f} failed, {:.0f} ms; share {:.2f}; probe {}, busy {:.2f}",
+                    configuration_.names.localities[raw(e.locality)],
+                    e.state == EndpointState::in_service ? "open" : "closed", v.tries, v.failed,
+                    answered > 0 ? v.latency / answered : 0, share, v.probe, v.busy));
+    v.tries = v.failed = v.latency = 0;
+  }
+  log(log::Level::debug, "endpoints", std::move(seen));
+}
+
 void Core::turn(Ms now) {
   if (now >= next_upkeep_) upkeep(now);
+  if (verbose_ && now >= next_view_) note_view(now);
   while (!timers_.empty() && timers_.begin()->first <= now) {
     pending_.push_back(TimerFired{timers_.begin()->second});
     timers_.erase(timers_.begin());
--- a/src/platform/core.h
+++ b/src/platform/core.h
@@ -59,7 +59,8 @@
 
 class Core {
  public:
-  Core(Configuration configuration, Ms now, double wall_now);
+  // `verbose`: once a second a line on each endpoint, to be set against the traffic that its sockets see.
+  Core(Configuration configuration, Ms now, double wall_now, bool verbose = false);
 
   // ---- What happens; effects are taken after turn() ----
   void opened(ConnectionId id, Ms now);
@@ -120,6 +121,7 @@
   void write_levels(ProxyId proxy, TableId table, ClassMask classes);
   void send_messages(std::optional<std::uint32_t> mark, Ms now);
   void watch();
+  void note_view(Ms now);
   void log(log::Level level, std::string event, log::Fields fields);
 
   Configuration configuration_;
@@ -137,6 +139,15 @@
   bool watching_ = false;
   Ms watch_at_ = 0, next_upkeep_ = 0;
   Counters counters_;
+  // For the log alone: nothing is decided by it.
+  struct View {
+    double tries = 0, failed = 0, latency = 0;  // heard since the last line; ms, summed over answered tries
+    std::string probe;                          // the last outcome
+    double busy = -1;                           // utilization by the last report
+  };
+  bool verbose_ = false;
+  std::map<EndpointId, View> view_;
+  Ms next_view_ = 0;
   std::vector<Effect> effects_;
 };
 
--- a/src/platform/message.cpp
+++ b/src/platform/message.cpp
@@ -81,7 +81,8 @@
 }
 ProxyId proxy(const Object& o, int proxies) { return ProxyId(o.whole("node", proxies - 1)); }
 
-// The platform's names of load figures and the module's.
+// The platform's names of load figures and the module's. A task may report by either: its settings name the
+// columns as the module knows them, the protocol's page by the shorter ones.
 constexpr std::array<std::pair<std::string_view, std::string_view>, 6> kLoadNames = {{
     {"util", "utilization"},
     {"queue", "backlog"},
@@ -91,7 +92,8 @@
     {"eps", "errors_per_s"},
 }};
 void note_load(LoadReport& load, std::string_view name, double value) {
-  auto found = std::find_if(kLoadNames.begin(), kLoadNames.end(), [&](auto& n) { return n.first == name; });
+  auto found = std::find_if(kLoadNames.begin(), kLoadNames.end(),
+                            [&](auto& n) { return n.first == name || n.second == name; });
   if (found != kLoadNames.end()) load[std::string(found->second)] = value;
 }
 bool sound_load(double value) { return std::isfinite(value) && value >= 0 && value <= kMostLoadFigure; }
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -43,7 +43,7 @@
   Service(std::string file, bool verbose)
       : file_(std::move(file)),
         log_("", verbose ? log::Level::debug : log::Level::info),
-        core_(read_configuration(file_), reactor_.now(), base::wall_ms()),
+        core_(read_configuration(file_), reactor_.now(), base::wall_ms(), verbose),
         client_(reactor_, {.connect_ms = kConnectMost, .most_idle = 0, .limits = {.body = kMostListBytes}}) {
     listener_ = std::make_unique<net::Listener>(
         reactor_, core_.configuration().listen, [this](auto c) { accept(std::move(c)); },
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -47,6 +47,7 @@
 // Health and retries.
 constexpr double kFailKeep = 0.7;  // what a period leaves of the counts of good and failed tries
 constexpr double kFailsLeast = 3;  // failed tries that are evidence at all
+constexpr double kChance = 0.001;  // that failures in a row are chance alone: less is evidence
 constexpr int kBarren = 2;  // periods without a good answer that make failed tries or probes a dead endpoint
 constexpr double kCommonBad = 0.2;     // the others failing this share: a common cause, none is to blame
 constexpr double kPanic = 0.4;         // no ejection that leaves less than this part of the listed size
@@ -230,6 +231,7 @@
     smooth(report_gap, e.span.count(), kGapSmoothing, report_gap == 0);
     smooth(path.rate, e.tries / seconds, 1 - std::pow(1 - kSmoothing, periods));
     path.good = path.good * keep + good, path.bad = path.bad * keep + e.failed;
+    path.failing = good > 0 ? 0 : path.failing + e.failed;
     path.heard = ep.heard = now;
     if (good <= 0 || e.latency.count() <= 0) return;
     path.last_good = now;
@@ -259,7 +261,7 @@
     for (auto& [id, ep] : endpoints) {
       ep.load = ep.served = 0;
       for (auto& [z, path] : ep.paths) {
-        if (now - path.heard > kUnheard * gap()) path.rate = path.good = path.bad = 0;
+        if (now - path.heard > kUnheard * gap()) path.rate = path.good = path.bad = path.failing = 0;
         if (path.rate > 0) ep.load += path.rate, ep.served += path.rate * path.good / path.tries();
       }
       if (++ep.report_age > kReportAge) ep.busy = -1;  // else, across a cut, its speed would seem to fade
@@ -417,7 +419,12 @@
       Duration due = std::max(kBarren * set.period + gap(), kBarren * gap());
       bool gone = reached && ep.listed.locality == from && ep.probes <= -kProbes && path.heard > kLongAgo &&
                   now - path.last_good >= due;
-      bool barren = path.heard - path.last_good >= kBarren * set.period && path.bad >= kFailsLeast;
+      // Few tries a second fade before they are many: what counts is how many failed in a row, and how
+      // unlikely that would be of an endpoint that fails like the others.
+      bool barren =
+          path.heard - path.last_good >= kBarren * set.period &&
+          (path.bad >= kFailsLeast || (path.failing >= kFailsLeast && path.heard - path.last_good >= due &&
+                                       std::pow(others_bad, path.failing) < kChance));
       if (!(gone || barren) || others_bad > kCommonBad || ep.listed.size > spare) continue;
       spare -= ep.listed.size, path.ejected = true;
       path.until = now + kEjectLeast * std::exp2(std::min(path.ejections++, kEjectDoublings));
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -26,6 +26,7 @@
 // dead endpoints to one side only; a dead endpoint fails for its own locality too.
 struct Path {
   double good = 0, bad = 0;  // tries, fading with the time reported
+  double failing = 0;        // tries failed since the last good answer: where few go, all would fade
   double rate = 0;           // tries a second, smoothed
   bool ejected = false;
   Time until{};
--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -125,6 +125,9 @@
 TEST(LoadReport, IsReadByTheModulesNamesAndWhatIsUnusableIsLeftOut) {
   EXPECT_EQ(parse_load("TEXT inflight=7, queue=2, util=0.61\n"),
             (LoadReport{{"outstanding", 7}, {"backlog", 2}, {"utilization", 0.61}}));
+  // Tasks were seen to report by the names of the settings' columns: not one of their reports was read.
+  EXPECT_EQ(parse_load("TEXT utilization=0.25, backlog=3"),
+            (LoadReport{{"backlog", 3}, {"utilization", 0.25}}));
   EXPECT_EQ(parse_load("TEXT util=-1, queue=x, odd=3, =4, inflight=1e99, eps=2"),
             (LoadReport{{"errors_per_s", 2}}));
   EXPECT_TRUE(parse_load("util=0.5").empty());
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -369,6 +369,28 @@
   EXPECT_TRUE(probed);
 }
 
+// One failed try in each second fades before three are counted: such a server was kept for good.
+TEST(Health, AServerThatFailsAllOfItsFewTriesIsEjectedAndOneThatAnswersSomeIsNot) {
+  Fleet fleet(two_zone_settings());
+  fleet.start({endpoint(1, 0), endpoint(2, 0), endpoint(3, 0), endpoint(4, 0), endpoint(5, 1)});
+  fleet.join(1, 0, 8);
+  fleet.run(20, [&](const ListedEndpoint& e) { return vector{heard(e, 4, 0, 100)}; });
+  int k = 0;
+  fleet.run(
+      16,
+      [&](const ListedEndpoint& e) {
+        bool second = ++k / 5 % 2 == 0;  // of two periods; five servers a period
+        if (e.id == EndpointId(2) && !second) return vector<EndpointHeard>{};
+        EndpointHeard few = heard(e, 1, e.id == EndpointId(2) || k % 4 == 0, 100);
+        few.span = Duration(1000);
+        if (e.id <= EndpointId(3) && e.id > EndpointId(1)) return vector{few};
+        return vector{heard(e, 4, 0, 100)};
+      },
+      4, 2);
+  EXPECT_EQ(fleet.line(1, 0, 2), 0);
+  EXPECT_GT(fleet.line(1, 0, 3), 0);
+}
+
 TEST(Health, ReturnsByAnsweredProbesAndEasesIn) {
   Fleet f = running();
   f.run(4, server_fails);
