--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -26,6 +26,7 @@
 constexpr double kAnsweredSlow = 0.2;  // slowdown counts no smaller answered part: what fails fast looks fast
 constexpr double kBusyLeast = 0.1, kBusyFull = 0.85;  // utilization that tells a speed; that leaves no core
 constexpr double kSpeedSmoothing = 0.15;              // weight of a step's speed sample: noisy and late
+constexpr double kCommonSmoothing = 0.5;              // the same of what all of one listed size tell together
 constexpr double kSpeedLeast = 0.1, kSpeedMost = 4;   // bounds of what reports make of a listed size
 // BFAIR step.
 constexpr double kTSloPart = 0.3;    // T: queueing takes this part of the tightest SLO
@@ -77,10 +78,11 @@
   std::map<GroupKey, Group> groups;
   std::map<std::pair<Locality, int>, std::set<std::pair<double, int>>> part_loads;  // usual rate and part
   std::map<TableId, Slice> slices;
-  std::vector<double> rates;  // admission rates by class, requests/s
-  Demand demand{set};         // made once a period, and when proxies join
-  std::vector<double> taken;  // part of a locality's capacity that is in use
-  std::vector<double> stay;   // the part of its proxies' load that a locality keeps
+  std::vector<double> rates;          // admission rates by class, requests/s
+  Demand demand{set};                 // made once a period, and when proxies join
+  std::map<double, double> speed_of;  // by listed size, what load reports make of it
+  std::vector<double> taken;          // part of a locality's capacity that is in use
+  std::vector<double> stay;           // the part of its proxies' load that a locality keeps
   Time now{}, next_cut = kLongAgo, next_period = kLongAgo, next_step = kLongAgo, ask_at = kLongAgo;
   int list_failures = 0, next_table = 0;
   bool list_changed = false;               // orders may not wait for the next period
@@ -117,7 +119,10 @@
     std::set<EndpointId> named;
     for (const ListedEndpoint& entry : e.entries) {
       named.insert(entry.id);
-      Endpoint& ep = endpoints[entry.id];
+      auto [found, fresh] = endpoints.try_emplace(entry.id);
+      Endpoint& ep = found->second;
+      if (auto common = speed_of.find(entry.size); fresh && common != speed_of.end())
+        ep.speed = common->second;
       // A restart under the same id: what was known of its health is void, not of its speed.
       if (entry.started_known && (!ep.listed.started_known || ep.listed.started != entry.started))
         ep = ep.restarted();
@@ -272,15 +277,34 @@
   // Listed sizes are rough. Where load reports tell how busy an endpoint is, good tries over busy time is its
   // speed; the fleet's mean keeps the unit. Not while cold: that speed will not last.
   void learn_speeds() {
-    double speed = 0, size = 0;
+    struct Sum {
+      double served = 0, size = 0;
+    };
+    Sum all;
+    std::map<double, Sum> by_size;
     auto known = [&](const Endpoint& ep) {
       return counts(ep) && ep.busy >= kBusyLeast && ep.served > 0 && ep.listed.size > 0 && ramp(ep) >= 1;
     };
     for (auto& [id, ep] : endpoints)
-      if (known(ep)) speed += ep.served / ep.busy, size += ep.listed.size;
-    auto sample = [&](const Endpoint& ep) { return ep.served / ep.busy / ep.listed.size * size / speed; };
-    for (auto& [id, ep] : endpoints)
-      if (known(ep)) smooth(ep.speed, std::clamp(sample(ep), kSpeedLeast, kSpeedMost), kSpeedSmoothing);
+      if (known(ep))
+        for (Sum* s : {&all, &by_size[ep.listed.size]})
+          s->served += ep.served / ep.busy, s->size += ep.listed.size;
+    auto over_mean = [&](double served, double size) {
+      return std::clamp(served / size * all.size / all.served, kSpeedLeast, kSpeedMost);
+    };
+    // Endpoints listed alike are alike wrongly listed: together they tell it sooner, and to new ones, too.
+    for (auto& [size, s] : by_size) {
+      auto [common, fresh] = speed_of.try_emplace(size, 1);
+      smooth(common->second, over_mean(s.served, s.size), kCommonSmoothing);
+    }
+    for (auto& [id, ep] : endpoints) {
+      auto common = speed_of.find(ep.listed.size);
+      if (common == speed_of.end()) continue;
+      if (known(ep))
+        smooth(ep.own_speed, over_mean(ep.served / ep.busy, ep.listed.size) / common->second,
+               kSpeedSmoothing);
+      ep.speed = std::clamp(common->second * ep.own_speed, kSpeedLeast, kSpeedMost);
+    }
   }
 
   // Requests a second of a class that a proxy lets in; unheard, as announced: as idle it would not spill.
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -42,6 +42,7 @@
   double load = 0, served = 0;               // tries and good tries a second, smoothed
   double busy = -1;                          // utilization by load reports, smoothed; below 0: none yet
   double speed = 1, nudge = 1;               // what load reports and the weight step make of the listed size
+  double own_speed = 1;                      // the part of `speed` that is not common to its listed size
   int slow_periods = 0, report_age = 0;      // in periods
   double news = 0;                           // answered tries heard of since the last weight step
   Time heard = kLongAgo, returned = kLongAgo;  // reports; from ejection
@@ -50,7 +51,7 @@
   bool open() const { return listed.state == EndpointState::in_service; }
   Endpoint restarted() const {
     Endpoint e;
-    e.base = base, e.speed = speed;
+    e.base = base, e.speed = speed, e.own_speed = own_speed;
     return e;
   }
 };
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -334,6 +334,26 @@
   EXPECT_LT(f.line(1, 0, 11), 0.7 * f.line(1, 0, 12));
 }
 
+// Endpoints of one listed size are worth the same part of it more often than not: what all of them report is
+// known within seconds, and holds for one that has only just come.
+TEST(Weights, WhatAListedSizeIsWorthIsLearnedTogetherAndHoldsForNewcomers) {
+  Fleet f(two_zone_settings());
+  f.start(
+      {endpoint(11, 0, 4), endpoint(12, 0, 4), endpoint(13, 0, 3), endpoint(14, 0, 3), endpoint(21, 1, 4)});
+  f.join(1, 0, 20);
+  f.run(16, [](const ListedEndpoint& e) {
+    EndpointHeard h = heard(e, 20, 0, 100);
+    h.load = {{"utilization", e.size == 3 ? 0.8 : 0.4}};
+    return vector{h};
+  });
+  double worth = f.line(1, 0, 13) / f.line(1, 0, 11);  // listed as 3 to 4, and half of that by the reports
+  EXPECT_LT(worth, 0.55);
+  EXPECT_GT(worth, 0.3);
+  f.listed.push_back(endpoint(15, 0, 3));
+  f.send({EndpointList{ListKind::incremental, {f.listed.back()}}});
+  EXPECT_LT(f.line(1, 0, 15), 0.65 * f.line(1, 0, 11));
+}
+
 // Behind a cut the last report stays while the load heard of fades: that is no loss of speed.
 TEST(Weights, AnOldLoadReportSaysNothingOfSpeed) {
   Fleet f = running();
