--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -130,7 +130,7 @@
 // What the connection stood for goes with it.
 void Core::end(Connections::iterator c, const std::string& reason) {
   if (c->second.is == Connection::Is::proxy) {
-    ProxyId proxy = c->second.proxy;
+    ProxyId proxy = c->second.joined.proxy;
     log(log::Level::info, "proxy_left", {{"proxy", std::to_string(raw(proxy))}, {"reason", reason}});
     streams_.erase(proxy);
     open_.erase(proxy);
@@ -162,21 +162,25 @@
   }
   Connection& connection = c->second;
   connection.is = Connection::Is::proxy;
-  connection.proxy = m.proxy;
+  connection.joined = m;
   connection.reader.allow(kMostJoined);
   streams_[m.proxy] = c->first;
-  tables_->join(m.proxy);
   log(log::Level::info, "proxy_joined",
       {{"proxy", std::to_string(raw(m.proxy))}, {"connection", std::to_string(raw(c->first))}});
+  join(m);
+}
+
+void Core::join(const ProxyJoins& m) {
+  tables_->join(m.proxy);
   pending_.push_back(ProxyJoined{m.proxy, m.locality, m.usual_rate, m.only_standing});
 }
 
 void Core::take(Connections::iterator c, const MarkApplied& m, Ms now) {
   Connection& connection = c->second;
-  if (connection.is != Connection::Is::proxy || connection.proxy != m.proxy)
+  if (connection.is != Connection::Is::proxy || connection.joined.proxy != m.proxy)
     throw Unusable(Unusable::Scope::message, "an answer to a mark that is not of this stream's proxy");
   auto hit = std::find_if(connection.marks.begin(), connection.marks.end(),
-                          [&](const Mark& mark) { return mark.serial == m.mark; });
+                          [&](const Mark& mark) { return mark.stamp == m.mark; });
   if (hit == connection.marks.end())
     throw Unusable(Unusable::Scope::message, "an answer to a mark that does not wait for one");
   if (passed_.empty() || hit->order > passed_.back().first) passed_.emplace_back(hit->order, now);
@@ -185,7 +189,8 @@
 
 void Core::confirm(Connection& c, std::size_t marks, Ms now) {
   for (; marks > 0; --marks, c.marks.pop_front())
-    pending_.push_back(OrderApplied{c.proxy, Duration(now - c.marks.front().sent), c.marks.front().serial});
+    pending_.push_back(
+        OrderApplied{c.joined.proxy, Duration(now - c.marks.front().sent), c.marks.front().serial});
 }
 
 void Core::take(Connections::iterator c, const TriesHeard& m, Ms) {
@@ -205,7 +210,7 @@
 void Core::take(Connections::iterator c, const UsageHeard& m, Ms) {
   if (c->second.is == Connection::Is::opening)
     throw Unusable(Unusable::Scope::connection, "a report before a joining");
-  if (c->second.is == Connection::Is::proxy && c->second.proxy != m.proxy)
+  if (c->second.is == Connection::Is::proxy && c->second.joined.proxy != m.proxy)
     throw Unusable(Unusable::Scope::message, "a report of another proxy than this stream's");
   ++counters_.reports;
   if (streams_.contains(m.proxy))
@@ -265,8 +270,11 @@
   watch_at_ = now;
 }
 
-void Core::reconfigure(Configuration next, Ms now, double) {
+void Core::reconfigure(Configuration next, Ms now) {
   bool moved = next.discovery != configuration_.discovery, other = next.values != configuration_.values;
+  bool same = next.names.classes == configuration_.names.classes &&
+              next.names.localities == configuration_.names.localities &&
+              next.settings.proxies == configuration_.settings.proxies;
   next.listen = configuration_.listen;
   configuration_ = std::move(next);
   log(log::Level::info, "configuration_taken",
@@ -274,9 +282,17 @@
   if (moved) watch();
   make_room();
   if (!other) return;
-  // Classes and localities may be others, and the streams' joinings named the former ones: they dial again.
-  while (!streams_.empty()) refuse(connections_.find(streams_.begin()->second), "the settings have changed");
+  // Where classes, localities or the number of proxies are others, the streams' joinings meant the former ones:
+  // those dial again. Else the fresh module binds them all, and they go on by what they hold until it does.
+  while (!same && !streams_.empty())
+    refuse(connections_.find(streams_.begin()->second), "the settings have changed");
   start_module(now);
+  for (auto& [proxy, id] : streams_) {
+    Connection& connection = connections_.at(id);
+    connection.marks.clear();  // of a module that is no more
+    connection.joined.only_standing = false;
+    join(connection.joined);
+  }
 }
 
 void Core::act(const std::vector<Action>& actions, Ms now) {
@@ -381,13 +397,15 @@
 }
 
 void Core::send_messages(std::optional<std::uint32_t> mark, Ms now) {
+  std::optional<std::uint32_t> stamp;
+  if (mark && !open_.empty()) stamp = ++last_stamp_;
   for (auto& [proxy, parts] : open_) {
     auto stream = streams_.find(proxy);
     if (stream == streams_.end()) continue;
     ++counters_.messages;
     counters_.lines += static_cast<std::uint64_t>(count_lines(parts, mark.has_value()));
-    if (mark) connections_.at(stream->second).marks.push_back({*mark, ++last_order_, now});
-    send(stream->second, push_lines(std::move(parts), mark, configuration_.names));
+    if (mark) connections_.at(stream->second).marks.push_back({*stamp, *mark, ++last_order_, now});
+    send(stream->second, push_lines(std::move(parts), stamp, configuration_.names));
   }
   open_.clear();
 }
--- a/src/platform/core.h
+++ b/src/platform/core.h
@@ -70,7 +70,7 @@
   void list_lost(const std::string& reason, Ms now);
   void probe_answered(EndpointId endpoint, Outcome outcome, Ms took, std::string_view body);
   // Another configuration from this instant on. Where the module's settings differ a fresh module takes over.
-  void reconfigure(Configuration next, Ms now, double wall_now);
+  void reconfigure(Configuration next, Ms now);
 
   void turn(Ms now);
   Ms next_due() const;  // when turn() must come at the latest
@@ -84,6 +84,7 @@
 
  private:
   struct Mark {
+    std::uint32_t stamp = 0;  // on the wire; a module that takes over counts its serials anew
     std::uint32_t serial = 0;
     std::uint64_t order = 0;  // among all messages of this channel
     Ms sent = 0;
@@ -93,8 +94,8 @@
     Is is = Is::opening;
     LineReader reader;
     Ms opened = 0, heard = 0, unfinished_since = 0;
-    ProxyId proxy{};
-    int unusable = 0;  // messages in a row
+    ProxyJoins joined;  // of a proxy
+    int unusable = 0;   // messages in a row
     std::deque<Mark> marks;
   };
   using Connections = std::map<ConnectionId, Connection>;
@@ -116,6 +117,7 @@
   void confirm(Connection& c, std::size_t marks, Ms now);
 
   void start_module(Ms now);
+  void join(const ProxyJoins& joined);
   void act(const std::vector<Action>& actions, Ms now);
   void write(ProxyId proxy, const orders::Order& order);
   void write_levels(ProxyId proxy, TableId table, ClassMask classes);
@@ -135,6 +137,7 @@
   std::deque<ConnectionId> opening_;  // in the order they came; some of them joined or gone
   std::map<ProxyId, Parts> open_;     // this turn's messages
   std::uint64_t last_order_ = 0;
+  std::uint16_t last_stamp_ = 0;                     // the wire's marks have so many bits
   std::deque<std::pair<std::uint64_t, Ms>> passed_;  // answered marks' orders, growing, and when it was so
   bool watching_ = false;
   Ms watch_at_ = 0, next_upkeep_ = 0;
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -69,15 +69,22 @@
   void turn() {
     turn_due_ = false;
     core_.turn(reactor_.now());
-    for (Effect& effect : core_.take_effects()) std::visit([this](auto& e) { carry_out(e); }, effect);
+    carry_out_all();
     if (timer_) reactor_.cancel(*timer_);
     timer_ = reactor_.at(core_.next_due(), [this] { timer_.reset(), soon(); });
   }
 
+  void carry_out_all() {
+    for (Effect& effect : core_.take_effects()) std::visit([this](auto& e) { carry_out(e); }, effect);
+  }
+
   void accept(std::shared_ptr<net::Connection> connection) {
     ConnectionId id{++last_connection_};
     connections_[id] = connection;
     core_.opened(id, reactor_.now());
+    // Hundreds may be accepted in one turn of the loop: who has to go for this one goes now, or descriptors
+    // run out before the turn ends and the listener turns away whoever comes next, be it a proxy.
+    carry_out_all();
     connection->start({{},
                        [this, id](std::string_view bytes) {
                          core_.bytes(id, bytes, reactor_.now());
@@ -191,7 +198,7 @@
 
   void reload() {
     try {
-      core_.reconfigure(read_configuration(file_), reactor_.now(), base::wall_ms());
+      core_.reconfigure(read_configuration(file_), reactor_.now());
     } catch (const std::exception& error) {  // what runs goes on as it is
       log_.write(log::Level::error, "configuration_refused", {{"reason", error.what()}});
     }
--- a/src/process/child.cpp
+++ b/src/process/child.cpp
@@ -46,8 +46,8 @@
   pid_ = -1;
 }
 
-void Child::ask_to_stop() {
-  if (pid_ >= 0) ::kill(pid_, SIGTERM);
+void Child::signal(int number) {
+  if (pid_ >= 0) ::kill(pid_, number);
 }
 
 int Child::stop(double most_ms) {
--- a/src/process/child.h
+++ b/src/process/child.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <csignal>
 #include <string>
 #include <vector>
 
@@ -17,8 +18,9 @@
   Child(const Child&) = delete;
   Child& operator=(const Child&) = delete;
 
-  void ask_to_stop();  // SIGTERM
-  void kill();         // SIGKILL, and waits for its end
+  void signal(int number);
+  void ask_to_stop() { signal(SIGTERM); }
+  void kill();  // SIGKILL, and waits for its end
   int stop(
       double most_ms);  // SIGTERM, and waits: its exit status, or -1 if it had to be killed or was before;
                         // of one that has ended, the status it ended with
--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -248,13 +248,35 @@
   rig.live(500, {p});
   json next = configuration();
   next["discovery"] = "127.0.0.1:2", next["seed"] = "77";
-  rig.core.reconfigure(parse_configuration(next.dump()), rig.now, rig.now);
+  rig.core.reconfigure(parse_configuration(next.dump()), rig.now);
   rig.turn();
   ASSERT_EQ(rig.got<OpenWatch>().size(), 2u);
   EXPECT_EQ(rig.got<OpenWatch>()[1].discovery.port, 2);
   EXPECT_FALSE(rig.is_closed(p));
 }
 
+TEST(PlatformCore, OtherSettingsBringAFreshModuleThatBindsAllStreamsAgain) {
+  Rig rig;
+  ConnectionId p = rig.join(0);
+  rig.live(500, {p});
+  std::size_t before = rig.messages(p).size();
+  json next = configuration();
+  next["settings"]["guarantees"]["warm_up"] = 9000.0;
+  rig.core.reconfigure(parse_configuration(next.dump()), rig.now);
+  rig.live(1000, {p});
+  EXPECT_FALSE(rig.is_closed(p));
+  EXPECT_TRUE(rig.messages(p).at(before).value("replace", false));
+  std::set<int> stamps;
+  for (const json& m : rig.messages(p))
+    EXPECT_TRUE(!m.contains("stamp") || stamps.insert(m["stamp"].get<int>()).second) << "a mark twice";
+  EXPECT_EQ(rig.core.counters().spoilt, 0u);
+  next["settings"]["azs"] = {"north", "south", "west"};  // what a joining meant may be no more
+  rig.core.reconfigure(parse_configuration(next.dump()), rig.now);
+  rig.turn();
+  EXPECT_TRUE(rig.is_closed(p));
+  EXPECT_NE(rig.error(p).find("settings have changed"), std::string::npos);
+}
+
 TEST(PlatformCore, RandomBytesInRandomPiecesNeverReachAnotherPeer) {
   beamshunt::test::Draw draw(11);
   Rig rig;
