The native channel expands orders by the same tables as the platform's

assigner::Core kept lines, levels, users, binds and withdrawals of its own, which orders::Tables had to do again for the platform. Each of its modules has a Tables now, and write() puts an order into frames. A module that is taken over drops the proxy's tables as a whole at the first bind of the fresh one (before: class by class, for figures alone).

--- a/src/assigner/core.cpp
+++ b/src/assigner/core.cpp
@@ -41,7 +41,7 @@
 
 Core::Core(const Site& site, std::uint64_t epoch, std::optional<EndpointBook> warm, Ms now, double wall_now)
     : site_(site), epoch_(epoch), intake_(site.report_lines_per_s) {
-  modules_.emplace(0, Module{.brain = Brain(site.policy)});
+  modules_.emplace(0, site.policy);
   next_release_ = list_heard_ = now;
   wall_less_now_ = wall_now - now;
   for (auto& [instance, address] : site_.peers) dial_at_[instance] = now;
@@ -131,7 +131,7 @@
     log(log::Level::info, "proxy_left",
         {{"proxy", std::to_string(stream.id)}, {"peer", net::to_string(stream.address)}, {"reason", reason}});
     proxies_.erase(proxy);
-    for (std::uint32_t number : stream.uses) tables_.at(number).users.erase(proxy);
+    for (auto& [number, module] : modules_) module.tables.leave(proxy);
     intake_.forget(proxy);
     open_.erase(proxy);
     tell(ProxyLeft{proxy});
@@ -240,6 +240,7 @@
       channel::Welcome{
           .epoch = epoch_, .heartbeat_ms = site_.heartbeat, .report_period_ms = site_.policy.period.count()},
       now);
+  modules_.rbegin()->second.tables.join(proxy);
   modules_.rbegin()->second.pending.push_back(
       ProxyJoined{proxy, Locality(*locality), hello.usual_rate, hello.only_standing});
 }
@@ -339,50 +340,51 @@
 }
 
 // A proxy obeys one module: what another one says to it is of a time that is over.
-void Core::write(std::uint32_t module, ProxyId proxy, channel::Order order) {
+void Core::write(std::uint32_t module, ProxyId proxy, const orders::Order& order) {
   auto joined = proxies_.find(proxy);
-  if (joined != proxies_.end() && streams_.at(joined->second).owner == module)
-    open_[proxy].push_back(std::move(order));
+  if (joined == proxies_.end() || streams_.at(joined->second).owner != module) return;
+  struct OnWire {
+    const Core& core;
+    std::uint32_t module;
+    using Order = channel::Order;
+    Order operator()(const orders::BindTo& x) {
+      return channel::BindOrder{x.classes, on_wire(module, x.table)};
+    }
+    Order operator()(const orders::LineOf& x) {
+      return core.line_of(on_wire(module, x.table), raw(x.endpoint), x.weight);
+    }
+    Order operator()(const orders::EmptyTable& x) { return channel::ResetOrder{on_wire(module, x.table)}; }
+    Order operator()(const orders::LevelOf& x) {
+      return channel::AdmitOrder{x.every_table ? channel::kEveryTable : on_wire(module, x.table), x.classes,
+                                 x.level.first, static_cast<std::uint8_t>(x.level.second)};
+    }
+    Order operator()(const orders::ShutOut& x) {
+      return channel::WithdrawOrder{raw(x.endpoint), x.withdrawn};
+    }
+  };
+  open_[proxy].push_back(std::visit(OnWire{*this, module}, order));
 }
 
-void Core::write_users(std::uint32_t module, const Table& table, const channel::Order& order) {
-  for (auto& [proxy, classes] : table.users) write(module, proxy, order);
+// A fresh module's first bind of a proxy: the former module is rid of it.
+void Core::take_over(std::uint32_t number, ProxyId proxy) {
+  auto joined = proxies_.find(proxy);
+  if (joined == proxies_.end()) return;  // it has left
+  std::uint32_t& owner = streams_.at(joined->second).owner;
+  if (owner >= number) return;
+  auto former = modules_.find(std::exchange(owner, number));
+  if (former == modules_.end()) return;
+  former->second.tables.leave(proxy);
+  former->second.pending.push_back(ProxyLeft{proxy});
 }
 
-void Core::bind(std::uint32_t module_number, Module& module, const Bind& b) {
-  auto joined = proxies_.find(b.proxy);
-  if (joined == proxies_.end()) return;  // it has left
-  Stream& stream = streams_.at(joined->second);
-  if (stream.owner > module_number) return;
-  if (stream.owner < module_number) {  // taken over: the former module is rid of it
-    if (auto former = modules_.find(std::exchange(stream.owner, module_number)); former != modules_.end())
-      former->second.pending.push_back(ProxyLeft{b.proxy});
-  }
-  ClassMask classes = b.classes != 0 ? b.classes : (ClassMask{1} << site_.policy.classes.size()) - 1;
-  std::uint32_t number = on_wire(module_number, b.table);
-  std::erase_if(stream.uses, [&](std::uint32_t used) {
-    auto& users = tables_.at(used).users;
-    auto user = users.find(b.proxy);
-    if ((user->second &= ~classes) != 0) return false;
-    users.erase(user);
-    return true;
-  });
-  Table& table = tables_[number];
-  table.users[b.proxy] |= classes;
-  stream.uses.insert(number);
-  write(module_number, b.proxy, channel::BindOrder{classes, number});
-  for (auto& [endpoint, weight] : table.lines)
-    write(module_number, b.proxy, line_of(number, endpoint, weight));
-  for (auto& [c, level] : table.levels)
-    write(
-        module_number, b.proxy,
-        channel::AdmitOrder{number, ClassMask{1} << c, level.first, static_cast<std::uint8_t>(level.second)});
-  for (auto& [c, level] : module.every_table)
-    write(module_number, b.proxy,
-          channel::AdmitOrder{channel::kEveryTable, ClassMask{1} << c, level.first,
-                              static_cast<std::uint8_t>(level.second)});
-  for (std::uint32_t endpoint : module.withdrawn)
-    write(module_number, b.proxy, channel::WithdrawOrder{endpoint, true});
+void Core::count_cuts(const Module& module, const Admit& x) {
+  static const std::map<ClassId, orders::Level> none;
+  auto table = module.tables.all().find(x.table);
+  auto& had = x.every_table                        ? module.tables.for_all_tables()
+              : table != module.tables.all().end() ? table->second.levels
+                                                   : none;
+  for (auto& [c, level] : had)
+    if ((x.classes == 0 || x.classes >> raw(c) & 1) && x.level < level.first) ++cuts_[raw(c)];
 }
 
 void Core::act(Ms now, std::uint32_t number, Module& module, const std::vector<Action>& actions) {
@@ -391,6 +393,7 @@
     Ms now;
     std::uint32_t number;
     Module& module;
+    const orders::Tables::Write write;
     void operator()(const WatchList& x) {
       core.watching_ = x.on;
       if (x.on) core.effects_.push_back(OpenWatch{});
@@ -409,38 +412,16 @@
           core.send_frame(core.streams_.find(stream),
                           channel::PeerNote{std::string(x.payload.begin(), x.payload.end())}, now);
     }
-    void operator()(const SetLine& x) {
-      Table& table = core.tables_[on_wire(number, x.table)];
-      if (x.weight > 0) table.lines[raw(x.endpoint)] = x.weight;
-      else table.lines.erase(raw(x.endpoint));
-      core.write_users(number, table, core.line_of(on_wire(number, x.table), raw(x.endpoint), x.weight));
-    }
-    void operator()(const ResetTable& x) {
-      Table& table = core.tables_[on_wire(number, x.table)];
-      table.lines.clear(), table.levels.clear();
-      core.write_users(number, table, channel::ResetOrder{on_wire(number, x.table)});
-    }
-    void operator()(const Bind& x) { core.bind(number, module, x); }
-    void operator()(const Withdraw& x) {
-      if (x.withdrawn) module.withdrawn.insert(raw(x.endpoint));
-      else module.withdrawn.erase(raw(x.endpoint));
-      for (auto& [proxy, stream] : core.proxies_)
-        core.write(number, proxy, channel::WithdrawOrder{raw(x.endpoint), x.withdrawn});
+    void operator()(const SetLine& x) { module.tables.apply(x, write); }
+    void operator()(const ResetTable& x) { module.tables.apply(x, write); }
+    void operator()(const Bind& x) {
+      core.take_over(number, x.proxy);
+      module.tables.apply(x, write);
     }
+    void operator()(const Withdraw& x) { module.tables.apply(x, write); }
     void operator()(const Admit& x) {
-      std::size_t count = core.site_.policy.classes.size();
-      ClassMask classes = x.classes != 0 ? x.classes : (ClassMask{1} << count) - 1;
-      auto& levels = x.every_table ? module.every_table : core.tables_[on_wire(number, x.table)].levels;
-      for (std::uint32_t c = 0; c < count; ++c) {
-        if (!(classes >> c & 1)) continue;
-        auto had = levels.find(c);
-        if (had != levels.end() && x.level < had->second.first) ++core.cuts_[c];
-        levels[c] = {x.level, x.retry};
-      }
-      channel::AdmitOrder order{x.every_table ? channel::kEveryTable : on_wire(number, x.table), classes,
-                                x.level, static_cast<std::uint8_t>(x.retry)};
-      if (!x.every_table) return core.write_users(number, core.tables_[on_wire(number, x.table)], order);
-      for (auto& [proxy, stream] : core.proxies_) core.write(number, proxy, order);
+      core.count_cuts(module, x);
+      module.tables.apply(x, write);
     }
     void operator()(const Barrier& x) {
       if (x.everyone)
@@ -455,7 +436,8 @@
       core.log(log::Level::error, "module_fault", {{"text", x.text}});
     }
   };
-  Doing doing{*this, now, number, module};
+  Doing doing{*this, now, number, module,
+              [&](ProxyId proxy, const orders::Order& order) { write(number, proxy, order); }};
   for (const Action& action : actions) std::visit(doing, action);
   counters_.actions += actions.size();
 }
@@ -581,9 +563,6 @@
         {{"module", std::to_string(m.first)}, {"by", std::to_string(modules_.rbegin()->first)}});
     return true;
   });
-  std::erase_if(tables_, [&](auto& t) {
-    return t.second.users.empty() && !modules_.contains(t.first / kTablesAModule);
-  });
 }
 
 std::size_t Core::spent(const Stream& s, Ms now, Ms span) {
@@ -626,13 +605,14 @@
   }
   if (!fresh) return;
   std::uint32_t number = modules_.rbegin()->first + 1;
-  Module& module = modules_.emplace(number, Module{.brain = Brain(site_.policy)}).first->second;
+  Module& module = modules_.emplace(number, site_.policy).first->second;
   if (!site_.record_file.empty()) effects_.push_back(AppendRecord{record::opening(site_.policy, number)});
   // Known instants of starts are kept as they are: no wall clock is needed, none of these is new.
   module.pending.push_back(
       EndpointList{ListKind::warm_copy, book_.listed(book_.all(), now, wall_less_now_ + now)});
   for (auto& [proxy, id] : proxies_) {
     Stream& s = streams_.at(id);
+    module.tables.join(proxy);
     module.others_sent[proxy] = static_cast<int>(spent(s, now, site_.policy.pushes_span.count()));
     module.pending.push_back(
         ProxyJoined{proxy, Locality{site_.locality_of.find(s.address.ip).value_or(0)}, s.usual, false});
@@ -745,8 +725,10 @@
     for (const Sent& m : s.unconfirmed)
       if (m.removes) oldest = std::max(oldest, now - m.decided);
   for (auto& [endpoint, since] : closed_)
-    for (auto& [number, table] : tables_)
-      if (!table.users.empty() && table.lines.contains(endpoint)) oldest = std::max(oldest, now - since);
+    for (auto& [module_number, module] : modules_)
+      for (auto& [id, table] : module.tables.all())
+        if (!table.users.empty() && table.lines.contains(EndpointId{endpoint}))
+          oldest = std::max(oldest, now - since);
   return oldest / site_.policy.drain_grace.count();
 }
 
@@ -759,9 +741,10 @@
   double most_messages = 0;
   Ms emptiest = 0;
   std::set<ProxyId> lacking;  // bound to a table that has no lines
-  for (auto& [number, table] : tables_)
-    if (table.lines.empty())
-      for (auto& [proxy, classes] : table.users) lacking.insert(proxy);
+  for (auto& [number, module] : modules_)
+    for (auto& [id, table] : module.tables.all())
+      if (table.lines.empty())
+        for (auto& [proxy, classes] : table.users) lacking.insert(proxy);
   for (auto& [proxy, id] : proxies_) {
     Stream& s = streams_.at(id);
     if (!s.unconfirmed.empty())
@@ -784,12 +767,13 @@
   for (std::uint32_t c = 0; c < p.classes.size(); ++c) {
     telemetry::Figures::Level level{site_.class_names[c], p.level_kind == LevelKind::rate ? 1e6 : 1,
                                     cuts_[c]};
-    for (auto& [number, table] : tables_)
-      if (auto l = table.levels.find(c); l != table.levels.end()) {
-        level.lowest = std::min(level.lowest, l->second.first);
-        unproven |=
-            p.classes[c].semantics != Semantics::retryable && l->second.second > RetryMode::after_proof;
-      }
+    for (auto& [number, module] : modules_)
+      for (auto& [id, table] : module.tables.all())
+        if (auto l = table.levels.find(ClassId{c}); l != table.levels.end()) {
+          level.lowest = std::min(level.lowest, l->second.first);
+          unproven |=
+              p.classes[c].semantics != Semantics::retryable && l->second.second > RetryMode::after_proof;
+        }
     f.levels.push_back(std::move(level));
   }
   f.ejections = ejections_;
@@ -826,14 +810,17 @@
                      {"dropped_messages", counters_.dropped_messages},
                      {"unknown_endpoints", counters_.unknown_endpoints}};
   nlohmann::json tables = nlohmann::json::object();
-  for (auto& [number, table] : tables_) {
-    nlohmann::json lines = nlohmann::json::object();
-    for (auto& [endpoint, weight] : table.lines) lines[std::to_string(endpoint)] = weight;
-    nlohmann::json levels = nlohmann::json::object();
-    for (auto& [c, level] : table.levels)
-      levels[site_.class_names[c]] = {{"level", level.first}, {"retry", static_cast<int>(level.second)}};
-    tables[std::to_string(number)] = {{"users", table.users.size()}, {"lines", lines}, {"levels", levels}};
-  }
+  for (auto& [number, module] : modules_)
+    for (auto& [id, table] : module.tables.all()) {
+      nlohmann::json lines = nlohmann::json::object();
+      for (auto& [endpoint, weight] : table.lines) lines[std::to_string(raw(endpoint))] = weight;
+      nlohmann::json levels = nlohmann::json::object();
+      for (auto& [c, level] : table.levels)
+        levels[site_.class_names[raw(c)]] = {{"level", level.first},
+                                             {"retry", static_cast<int>(level.second)}};
+      tables[std::to_string(on_wire(number, id))] = {
+          {"users", table.users.size()}, {"lines", lines}, {"levels", levels}};
+    }
   out["tables"] = tables;
   return out.dump();
 }
--- a/src/assigner/core.h
+++ b/src/assigner/core.h
@@ -20,6 +20,7 @@
 #include "assigner/site.h"
 #include "channel/frames.h"
 #include "log/log.h"
+#include "orders/tables.h"
 #include "telemetry/figures.h"
 
 namespace beamshunt::assigner {
@@ -149,8 +150,7 @@
     std::uint32_t id = 0;  // of the proxy or the peer
     std::uint64_t incarnation = 0;
     std::uint32_t attempt = 0;
-    std::uint32_t owner = 0;       // the module that orders this proxy
-    std::set<std::uint32_t> uses;  // tables that it is bound to: a user there
+    std::uint32_t owner = 0;  // the module that orders this proxy
     double usual = 0;
     std::uint64_t sequence = 0, reported = 0;
     std::deque<Sent> unconfirmed;
@@ -158,18 +158,13 @@
     Ms empty_since = -1;      // bound and without a line for a class, as far as ordered; below 0: not
     Ms due = 0;               // its place in due_
   };
-  struct Table {
-    std::map<std::uint32_t, double> lines;
-    std::map<std::uint32_t, std::pair<double, RetryMode>> levels;  // by class
-    std::map<ProxyId, ClassMask> users;
-  };
   // One instance of the decision module and what it has ordered for all.
   struct Module {
+    explicit Module(const Settings& settings) : brain(settings), tables(settings.classes.size()) {}
     Brain brain;
+    orders::Tables tables;
     std::vector<Event> pending;
     std::multimap<Ms, std::uint64_t> timers;
-    std::set<std::uint32_t> withdrawn;
-    std::map<std::uint32_t, std::pair<double, RetryMode>> every_table;  // levels for all, by class
     std::map<ProxyId, int> others_sent;  // messages of others since the last ChannelShared
     double others_lines = 0;             // as last told
   };
@@ -201,10 +196,10 @@
   void run(std::uint32_t number, Module& module, Ms now);
   void retire();
   void act(Ms now, std::uint32_t number, Module& module, const std::vector<Action>& actions);
-  void write(std::uint32_t module, ProxyId proxy, channel::Order order);
-  void write_users(std::uint32_t module, const Table& table, const channel::Order& order);
+  void write(std::uint32_t module, ProxyId proxy, const orders::Order& order);
   channel::LineOrder line_of(std::uint32_t table, std::uint32_t endpoint, double weight) const;
-  void bind(std::uint32_t number, Module& module, const Bind& bind);
+  void take_over(std::uint32_t number, ProxyId proxy);
+  void count_cuts(const Module& module, const Admit& admit);
   void send_messages(Ms now, std::uint32_t module);
   void release_messages(Ms now);
   void note_report(Locality from, const channel::Report& report, Ms now);
@@ -226,7 +221,6 @@
   std::map<ProxyId, StreamId> proxies_;                  // joined ones
   std::map<std::uint32_t, StreamId> peers_;              // open streams to them
   std::map<std::uint32_t, Ms> dial_at_;                  // peers to dial, once their time has come
-  std::map<std::uint32_t, Table> tables_;                // by number on the wire
   std::map<ProxyId, std::vector<channel::Order>> open_;  // this turn's messages
   std::deque<Waiting> waiting_;
   Ms channel_free_ = 0;
--- a/src/orders/tables.h
+++ b/src/orders/tables.h
@@ -65,7 +65,7 @@
   void apply(const Admit& action, const Write& write);
 
   const std::map<TableId, Table>& all() const { return tables_; }
-  const std::set<EndpointId>& withdrawn() const { return withdrawn_; }
+  const std::map<ClassId, Level>& for_all_tables() const { return every_table_; }
   // The classes of a proxy that are bound to the table.
   ClassMask bound(ProxyId proxy, TableId table) const;
   const std::set<TableId>& used_by(ProxyId proxy) const { return proxies_.at(proxy); }
