--- a/src/assigner/service.cpp
+++ b/src/assigner/service.cpp
@@ -18,6 +18,7 @@
 #include "base/worker.h"
 #include "http/numbers.h"
 #include "http/server.h"
+#include "probe/outcome.h"
 
 namespace beamshunt::assigner {
 
@@ -224,27 +225,11 @@
     Ms asked = reactor_.now();
     client_.ask(e.address, http::request("GET", "/probe"), site_.probe_timeout,
                 [this, asked, endpoint = e.endpoint](http::Client::Answer&& answer) {
-                  core_.probe_answered(endpoint, outcome_of(answer), reactor_.now() - asked,
+                  core_.probe_answered(endpoint, probe::outcome_of(answer), reactor_.now() - asked,
                                        http::parse_numbers(answer.message.body), reactor_.now());
                   soon();
                 });
   }
-  static Outcome outcome_of(const http::Client::Answer& answer) {
-    switch (answer.failure) {
-      case http::Client::Failure::connect:
-        return Outcome::dial_failed;
-      case http::Client::Failure::timed_out:
-        return Outcome::expired;
-      case http::Client::Failure::broken:
-        return Outcome::dropped;
-      case http::Client::Failure::malformed:
-        return Outcome::app_error;
-      case http::Client::Failure::none:
-        break;
-    }
-    if (answer.message.status == 200) return Outcome::delivered;
-    return answer.message.status == 503 ? Outcome::shed : Outcome::app_error;
-  }
   void carry_out(SaveList&) {  // one save at a time: what changes meanwhile is in the next
     list_changed_ = true;
     save_list();
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -13,6 +13,7 @@
 #include "log/log.h"
 #include "net/reactor.h"
 #include "platform/core.h"
+#include "probe/outcome.h"
 
 namespace beamshunt::platform {
 namespace {
@@ -168,32 +169,17 @@
     for (; asked_ < kMostProbes && !due_.empty(); due_.pop_front()) {
       ++asked_;
       Ms begun = reactor_.now();
-      client_.ask(
-          due_.front().address, http::request("GET", due_.front().for_load ? "/-/load" : "/-/healthy"),
-          kProbeWithin, [this, begun, endpoint = due_.front().endpoint](http::Client::Answer&& answer) {
-            --asked_;
-            core_.probe_answered(endpoint, outcome_of(answer), reactor_.now() - begun, answer.message.body);
-            probe();
-            soon();
-          });
+      client_.ask(due_.front().address,
+                  http::request("GET", due_.front().for_load ? "/-/load" : "/-/healthy"), kProbeWithin,
+                  [this, begun, endpoint = due_.front().endpoint](http::Client::Answer&& answer) {
+                    --asked_;
+                    core_.probe_answered(endpoint, probe::outcome_of(answer), reactor_.now() - begun,
+                                         answer.message.body);
+                    probe();
+                    soon();
+                  });
     }
   }
-  static Outcome outcome_of(const http::Client::Answer& answer) {
-    switch (answer.failure) {
-      case http::Client::Failure::connect:
-        return Outcome::dial_failed;
-      case http::Client::Failure::timed_out:
-        return Outcome::expired;
-      case http::Client::Failure::broken:
-        return Outcome::dropped;
-      case http::Client::Failure::malformed:
-        return Outcome::app_error;
-      case http::Client::Failure::none:
-        break;
-    }
-    if (answer.message.status == 200) return Outcome::delivered;
-    return answer.message.status == 503 ? Outcome::shed : Outcome::app_error;
-  }
   void carry_out(LogLine& e) { log_.write(e.level, e.event, e.fields); }
 
   void reload() {
