--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -100,7 +100,7 @@
     std::visit([&](const auto& m) { take(c, m, now); }, message);
     if (auto still = connections_.find(c->first); still != connections_.end()) still->second.unusable = 0;
   } catch (const Unusable& fault) {
-    // Who has not joined gets one try; a joined stream loses what was spoilt alone, unless nothing else comes.
+    // Who has not joined gets one try; a joined stream loses only what was spoilt, unless nothing else comes.
     if (connection.is == Connection::Is::opening || fault.scope == Unusable::Scope::connection) throw;
     ++counters_.spoilt;
     log(log::Level::warning, "message_dropped",
@@ -282,8 +282,8 @@
   if (moved) watch();
   make_room();
   if (!other) return;
-  // Where classes, localities or the number of proxies are others, the streams' joinings meant the former ones:
-  // those dial again. Else the fresh module binds them all, and they go on by what they hold until it does.
+  // Where classes, localities or the number of proxies are others, the joinings meant the former ones: those
+  // streams dial again. Else the fresh module binds them all, and they go on by what they hold until it does.
   while (!same && !streams_.empty())
     refuse(connections_.find(streams_.begin()->second), "the settings have changed");
   start_module(now);
@@ -439,7 +439,7 @@
       continue;
     }
     while (!connection.marks.empty() && mark_overdue(connection.marks.front(), now)) {
-      // The message is through, so its lines must leave the module's account, or they would hold up everybody.
+      // The message is through: its lines must leave the module's account, or they would hold up everybody.
       bool lives = connection.heard > connection.marks.front().sent;
       ++counters_.unanswered_marks;
       if (!lives) break;
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -21,7 +21,7 @@
 // ---- Bounds of the sockets: unit, reason ----
 constexpr Ms kConnectMost = 1000;             // ms to discovery, on the same network
 constexpr Ms kListQuiet = 4500;               // ms; a watch's empty lines come every 2 s: two are missing
-constexpr Ms kProbeWithin = 500;              // ms for an endpoint to answer, the connection included
+constexpr Ms kProbeWithin = 500;              // ms for an endpoint to take a connection, and again to answer
 constexpr std::size_t kMostProbes = 16;       // at a time: a descriptor each
 constexpr std::size_t kMostProbesDue = 1024;  // that wait for one of those; more are not asked
 constexpr std::size_t kMostUnsent = 1048576;  // bytes that a proxy leaves unread before it is given up
