Collectors of a locality are bounded; a fuzz target for the platform's parsers

A collector is never written to, so one whose connection fell silent never shows and would keep its descriptor; the newest four of a locality stay.

--- /dev/null
+++ b/fuzz/platform.cpp
@@ -0,0 +1,39 @@
+// The platform's lines in pieces, discovery's objects, load reports and configurations.
+#include <stdexcept>
+
+#include "platform/configuration.h"
+#include "platform/directory.h"
+#include "platform/message.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const unsigned char* data, std::size_t size) {
+  using namespace beamshunt;
+  std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  const settings::Names names{{"north", "south"}, {"look", "buy"}};
+  constexpr std::size_t kMostLine = 4096;
+  platform::LineReader reader(kMostLine);
+  try {
+    for (std::size_t from = 0, piece = 1; from < size; from += piece, piece = piece * 2 % 61 + 1) {
+      reader.push(bytes.substr(from, piece));
+      while (auto line = reader.next()) {
+        if (line->size() > kMostLine) __builtin_trap();
+        try {
+          platform::parse_message(*line, names, 40);
+        } catch (const platform::Unusable&) {
+        }
+      }
+    }
+  } catch (const platform::Unusable&) {
+  }
+  platform::parse_load(bytes);
+  try {
+    platform::Directory directory;
+    for (const ListedEndpoint& e : directory.take(bytes, names, 0, 0).list.entries)
+      if (!directory.uid(e.id)) __builtin_trap();
+  } catch (const std::runtime_error&) {
+  }
+  try {
+    platform::parse_configuration(bytes);
+  } catch (const std::runtime_error&) {
+  }
+  return 0;
+}
--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t kMostOpening = 4096;        // bytes of a message before joining: all such are short
 constexpr std::size_t kMostJoined = 1048576;      // bytes of any message, by the protocol
 constexpr std::size_t kMostUnfinished = 4194304;  // bytes of all connections' begun messages together
+constexpr std::size_t kMostCollectors = 4;        // of a locality: one, and ghosts of broken connections
 constexpr Ms kJoinWithin = 1000;                  // ms from connecting on; who has not joined may be closed
 constexpr Ms kLineWithin = 3000;                  // ms from a message's first byte to its last
 constexpr Ms kUpkeep = 200;                       // ms between two looks at all connections
@@ -147,6 +148,14 @@
 void Core::take(Connections::iterator c, const CollectorJoins& m, Ms) {
   if (c->second.is != Connection::Is::opening)
     throw Unusable(Unusable::Scope::message, "a second joining on one connection");
+  // Nothing is written to a collector, so one that has fallen silent never shows: newer ones push it out.
+  auto& others = collectors_[m.locality];
+  std::erase_if(others, [&](ConnectionId id) { return !connections_.contains(id); });
+  if (others.size() >= kMostCollectors) {
+    refuse(connections_.find(others.front()), "the locality has newer collectors");
+    others.pop_front();
+  }
+  others.push_back(c->first);
   c->second.is = Connection::Is::collector;
   c->second.reader.allow(kMostJoined);
   log(log::Level::info, "collector_joined", {{"locality", configuration_.names.localities[raw(m.locality)]}});
--- a/src/platform/core.h
+++ b/src/platform/core.h
@@ -134,6 +134,7 @@
   std::multimap<Ms, std::uint64_t> timers_;
   Connections connections_;
   std::map<ProxyId, ConnectionId> streams_;
+  std::map<Locality, std::deque<ConnectionId>> collectors_;  // in the order they joined
   std::deque<ConnectionId> opening_;  // in the order they came; some of them joined or gone
   std::map<ProxyId, Parts> open_;     // this turn's messages
   std::uint64_t last_order_ = 0;
--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -220,6 +220,18 @@
   EXPECT_EQ(rig.core.connections(), 40u);
 }
 
+TEST(PlatformCore, CollectorsOfALocalityAreBoundedAndTheNewestStay) {
+  Rig rig;
+  ConnectionId elsewhere = rig.collector("south");
+  std::vector<ConnectionId> all;
+  for (int k = 0; k < 300; ++k) all.push_back(rig.collector("north"));
+  rig.turn();
+  EXPECT_LE(rig.core.connections(), 5u);
+  EXPECT_TRUE(rig.is_closed(all.front()));
+  EXPECT_FALSE(rig.is_closed(all.back()));
+  EXPECT_FALSE(rig.is_closed(elsewhere));
+}
+
 TEST(PlatformCore, AMessageThatNeverEndsEndsItsConnection) {
   Rig rig;
   ConnectionId p = rig.join(0), slow = rig.collector();
