One walk over overdue marks; conditions that were always true leave the platform core

Read again as a whole, platform/core.cpp had a condition that was always true (whether a part fits), two look-ups of a connection that a message of its own never ends, and overdue marks judged once in a loop and again after it. Each is gone or done once. Behaviour is meant to be the same: the tests are untouched and pass (34 of the platform's packages, 4 with the process).

--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -85,8 +85,7 @@
     while (std::optional<std::string> line = connection.reader.next()) {
       begun = false;
       if (line->find_first_not_of(" \t\r") == line->npos) continue;
-      take_line(c, *line, now);
-      if (c = connections_.find(id); c == connections_.end()) return;
+      take_line(c, *line, now);  // a message may end other connections, never its own
     }
   } catch (const Unusable& fault) {
     return refuse(c, fault.what());
@@ -99,7 +98,7 @@
   try {
     Message message = parse_message(line, configuration_.names, configuration_.settings.proxies);
     std::visit([&](const auto& m) { take(c, m, now); }, message);
-    if (auto still = connections_.find(c->first); still != connections_.end()) still->second.unusable = 0;
+    connection.unusable = 0;
   } catch (const Unusable& fault) {
     // Who has not joined gets one try; a joined stream loses only what was spoilt, unless nothing else comes.
     if (connection.is == Connection::Is::opening || fault.scope == Unusable::Scope::connection) throw;
@@ -347,10 +346,10 @@
 }
 
 // A part that may take one more order for `classes`: not past a later part that such an order would overtake.
-template <typename Fits, typename Blocks>
-static Part& part_for(std::vector<Part>& parts, ClassMask classes, Fits fits, Blocks blocks) {
+template <typename Blocks>
+static Part& part_for(std::vector<Part>& parts, ClassMask classes, Blocks blocks) {
   for (auto p = parts.rbegin(); p != parts.rend(); ++p) {
-    if (p->classes == classes && fits(*p)) return *p;
+    if (p->classes == classes) return *p;
     if ((p->classes & classes) != 0 && blocks(*p)) break;
   }
   parts.emplace_back().classes = classes;
@@ -361,9 +360,7 @@
   for (std::uint32_t c = 0; (classes >> c) != 0; ++c) {
     auto level = classes >> c & 1 ? tables_->effective(table, ClassId{c}) : std::nullopt;
     if (!level) continue;
-    Part& part = part_for(
-        open_[proxy], bit(ClassId{c}), [](const Part&) { return true; },
-        [](const Part& p) { return p.replace || p.level; });
+    Part& part = part_for(open_[proxy], bit(ClassId{c}), [](const Part& p) { return p.replace || p.level; });
     part.level = {level->first, static_cast<int>(level->second)};
   }
 }
@@ -382,9 +379,8 @@
     void operator()(const orders::LineOf& x) {
       const std::string* uid = core.directory_.uid(x.endpoint);
       if (!uid) return;
-      Part& part = part_for(
-          parts, core.tables_->bound(proxy, x.table), [](const Part&) { return true; },
-          [](const Part& p) { return p.replace || !p.rows.empty(); });
+      Part& part = part_for(parts, core.tables_->bound(proxy, x.table),
+                            [](const Part& p) { return p.replace || !p.rows.empty(); });
       auto same = std::find_if(part.rows.begin(), part.rows.end(), [&](auto& r) { return r.first == *uid; });
       if (same != part.rows.end()) same->second = x.weight;
       else part.rows.emplace_back(*uid, x.weight);
@@ -448,16 +444,16 @@
       continue;
     }
     while (!connection.marks.empty() && mark_overdue(connection.marks.front(), now)) {
-      // The message is through: its lines must leave the module's account, or they would hold up everybody.
-      bool lives = connection.heard > connection.marks.front().sent;
       ++counters_.unanswered_marks;
-      if (!lives) break;
-      confirm(connection, 1, now);
-    }
-    if (!connection.marks.empty() && mark_overdue(connection.marks.front(), now)) {
+      // The message is through: its lines must leave the module's account, or they would hold up everybody.
+      if (connection.heard > connection.marks.front().sent) {
+        confirm(connection, 1, now);
+        continue;
+      }
       ++counters_.silent;
       effects_.push_back(CloseConnection{c->first, true});
       end(c, "silent");
+      break;
     }
   }
 }
