Watches, marks and probes are known by number; late ones of what is over change nothing

What could cross, and where the fault was: - service.cpp took the first bytes of any answer to a watch, a 503's body too, for the new watch telling, and dropped the former, healthy one. The HTTP client now streams the body of a 200 alone; a watch is over once the newer one gave an object that was taken (platform/list_watch, pure). - A new watch that failed while the former lived was never tried again until the former ended. It is, 250 ms to 2 s later, spread. - A fetch that failed told the module that the list was lost while a watch lived. - directory.cpp followed an older revision whole: a drain or a start was taken back. It now goes only further. - A spoilt entry was forgotten as soon as the next object was sound: the version it came in is held until asked for again. - Four answers in a row to marks that were settled meanwhile, or were a former module's, ended a sound stream, which this protocol does not count as left. - A fresh module did not know the lines and messages of the one before (rule 5). It is told both (ChannelShared). - After settings with other localities the list kept the former numbers, which the module used as indices. - A connection was closed to make room with its joining unread in the kernel; it is read first. - A probe that hung was asked again each second; 16 at a time whatever the limit. One an endpoint, a part of the descriptors.

--- a/src/http/message.h
+++ b/src/http/message.h
@@ -56,6 +56,7 @@
   void end();
   // The next response answers a request of this method (HEAD has no body).
   void answers(std::string_view method) { no_body_ = method == "HEAD"; }
+  int status() const { return message_.status; }  // of the response whose body is being read
   bool between_messages() const { return state_ == State::start && line_.empty(); }
 
  private:
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -169,6 +169,10 @@
   if (live && hold && hold->closed) hold->closed(reason);
 }
 
+void Connection::read_now() {
+  if (!dialling_) read_some();
+}
+
 void Connection::pause(bool paused) {
   bool resumed = paused_ && !paused;
   paused_ = paused;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -51,6 +51,7 @@
   void close_after_sending();  // closes once what is queued is out, or after the time a peer may take
   void close();                // at once; no callback follows
   void reset();                // at once, and the peer is told by a reset
+  void read_now();             // what has come already, without waiting to be told of it
   void pause(bool paused);     // while paused nothing is read: the kernel's buffers fill, then the peer waits
   bool open() const { return static_cast<bool>(fd_); }
   std::size_t unsent() const { return unsent_; }
--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -20,20 +20,24 @@
 constexpr Ms kLineWithin = 3000;                  // ms from a message's first byte to its last
 constexpr Ms kUpkeep = 200;                       // ms between two looks at all connections
 constexpr int kMostUnusable = 4;                  // messages in a row: such a stream is of no further use
-constexpr std::size_t kReserved = 48;             // descriptors for all else: loop, probes, discovery, files
-constexpr Ms kMarkSlack = 1000;                   // ms that an answer may take beyond the channel's longest
-constexpr Ms kSilentMost = 20000;                 // ms without an answer, where no other proxy's tells
-constexpr Ms kViewEach = 1000;                    // ms between two accounts of all endpoints
-constexpr Ms kPassedKept = 60000;                 // ms
-constexpr Ms kWatchAgain = 1000;                  // ms, where the module leaves the list to the channel
+constexpr std::size_t kReserved = 32;  // descriptors for all else but probes: loop, discovery, files
+// probes at a time: those of endpoints that hang must leave some for the others; more would only be a burst
+constexpr std::size_t kProbesLeast = 16, kProbesMost = 64;
+constexpr Ms kMarkSlack = 1000;            // ms that an answer may take beyond the channel's longest
+constexpr Ms kSilentMost = 20000;          // ms without an answer, where no other proxy's tells
+constexpr Ms kViewEach = 1000;             // ms between two accounts of all endpoints
+constexpr Ms kPassedKept = 60000;          // ms
+constexpr std::size_t kMostSettled = 256;  // stamps kept of a stream: more are never on their way
 
 Time at(Ms ms) { return Time(Duration(ms)); }
 ClassMask bit(ClassId c) { return ClassMask{1} << raw(c); }
 
 }  // namespace
 
+std::size_t most_probes(std::size_t sockets) { return std::clamp(sockets / 16, kProbesLeast, kProbesMost); }
+
 Core::Core(Configuration configuration, Ms now, double wall_now, bool verbose)
-    : configuration_(std::move(configuration)), verbose_(verbose) {
+    : configuration_(std::move(configuration)), watch_(configuration_.seed), verbose_(verbose) {
   if (!configuration_.known.empty()) {
     try {
       directory_.take(configuration_.known, configuration_.names, now, wall_now);
@@ -41,7 +45,7 @@
       log(log::Level::error, "known_list_refused", {{"reason", error.what()}});
     }
   }
-  start_module(now);
+  start_module();
 }
 
 void Core::log(log::Level level, std::string event, log::Fields fields) {
@@ -53,25 +57,29 @@
 void Core::opened(ConnectionId id, Ms now) {
   connections_.emplace(id, Connection{.reader = LineReader(kMostOpening), .opened = now, .heard = now});
   opening_.push_back(id);
-  make_room();
 }
 
-// Descriptors are for who has joined: of the others the oldest goes first, for it had its time.
-void Core::make_room() {
-  std::size_t most = configuration_.sockets > 2 * kReserved ? configuration_.sockets - kReserved : kReserved;
-  while (connections_.size() > most) {
-    while (!opening_.empty()) {
-      auto c = connections_.find(opening_.front());
-      if (c != connections_.end() && c->second.is == Connection::Is::opening) break;
-      opening_.pop_front();
-    }
-    if (opening_.empty()) return;
+// The oldest of those that have not joined, for it had its time.
+std::optional<ConnectionId> Core::to_evict() {
+  while (!opening_.empty()) {
     auto c = connections_.find(opening_.front());
-    send(c->first, error_line("too many connections that have not joined"));
-    effects_.push_back(CloseConnection{c->first, true});
-    ++counters_.evicted;
-    end(c, "room is needed");
+    if (c != connections_.end() && c->second.is == Connection::Is::opening) break;
+    opening_.pop_front();
   }
+  std::size_t reserved = kReserved + most_probes(configuration_.sockets);
+  std::size_t most = configuration_.sockets > 2 * reserved ? configuration_.sockets - reserved : reserved;
+  if (connections_.size() <= most || opening_.empty()) return std::nullopt;
+  return opening_.front();
+}
+
+void Core::evict(ConnectionId id) {
+  auto c = connections_.find(id);
+  if (c == connections_.end() || c->second.is != Connection::Is::opening)
+    return;  // what came last was a joining
+  send(id, error_line("too many connections that have not joined"));
+  effects_.push_back(CloseConnection{id, true});
+  ++counters_.evicted;
+  end(c, "room is needed");
 }
 
 void Core::bytes(ConnectionId id, std::string_view bytes, Ms now) {
@@ -130,6 +138,7 @@
 // What the connection stood for goes with it.
 void Core::end(Connections::iterator c, const std::string& reason) {
   if (c->second.is == Connection::Is::proxy) {
+    settle(c->second);
     ProxyId proxy = c->second.joined.proxy;
     log(log::Level::info, "proxy_left", {{"proxy", std::to_string(raw(proxy))}, {"reason", reason}});
     streams_.erase(proxy);
@@ -189,16 +198,36 @@
     throw Unusable(Unusable::Scope::message, "an answer to a mark that is not of this stream's proxy");
   auto hit = std::find_if(connection.marks.begin(), connection.marks.end(),
                           [&](const Mark& mark) { return mark.stamp == m.mark; });
-  if (hit == connection.marks.end())
+  if (hit == connection.marks.end()) {
+    // It crossed the end of its wait, or of its module: none of the stream's doing, and nothing spoilt.
+    if (std::find(connection.settled.begin(), connection.settled.end(), m.mark) != connection.settled.end()) {
+      ++counters_.late;
+      return;
+    }
     throw Unusable(Unusable::Scope::message, "an answer to a mark that does not wait for one");
+  }
   if (passed_.empty() || hit->order > passed_.back().first) passed_.emplace_back(hit->order, now);
   confirm(connection, static_cast<std::size_t>(hit - connection.marks.begin()) + 1, now);
 }
 
 void Core::confirm(Connection& c, std::size_t marks, Ms now) {
-  for (; marks > 0; --marks, c.marks.pop_front())
-    pending_.push_back(
-        OrderApplied{c.joined.proxy, Duration(now - c.marks.front().sent), c.marks.front().serial});
+  for (; marks > 0; --marks, c.marks.pop_front()) {
+    const Mark& mark = c.marks.front();
+    c.settled.push_back(mark.stamp);
+    if (c.settled.size() > kMostSettled) c.settled.pop_front();
+    if (mark.module == module_)
+      pending_.push_back(OrderApplied{c.joined.proxy, Duration(now - mark.sent), mark.serial});
+    else pending_.push_back(ChannelShared{former_lines_ -= mark.lines, {}});
+  }
+}
+
+// Nothing more is confirmed of this stream: what it holds of former modules' lines leaves their account.
+void Core::settle(Connection& c) {
+  double before = former_lines_;
+  for (const Mark& mark : c.marks)
+    if (mark.module != module_) former_lines_ -= mark.lines;
+  c.marks.clear();
+  if (former_lines_ != before) pending_.push_back(ChannelShared{former_lines_, {}});
 }
 
 void Core::take(Connections::iterator c, const TriesHeard& m, Ms) {
@@ -227,36 +256,79 @@
 
 // ---- List and probes ----
 
-void Core::list_object(std::string_view json, Ms now, double wall_now) {
+void Core::watch_bytes(ListWatch::Number number, std::string_view piece, Ms now, double wall_now) {
+  try {
+    for (const std::string& object : watch_.bytes(number, piece)) {
+      if (!list_object(object, now, wall_now)) continue;
+      // Only now is it known that the new watch serves: the former one was the only one to tell of a drain.
+      close_watches(watch_.tells(number));
+    }
+  } catch (const std::runtime_error& error) {
+    close_watches({number});
+    watch_ended(number, error.what(), now);
+  }
+}
+
+void Core::watch_ended(ListWatch::Number number, const std::string& reason, Ms now) {
+  ListWatch::Loss loss = watch_.ended(number, now);
+  if (loss == ListWatch::Loss::list_lost) list_lost(reason);
+  if (loss != ListWatch::Loss::newest) return;
+  reopen_ = true;
+  log(log::Level::warning, "watch_lost", {{"reason", reason}, {"list", "a former watch tells"}});
+}
+
+void Core::fetch_answered(std::string_view json, Ms now, double wall_now) {
+  list_object(json, now, wall_now);
+}
+
+void Core::fetch_failed(const std::string& reason) {
+  if (!watch_.any()) list_lost(reason);
+  else log(log::Level::warning, "fetch_failed", {{"reason", reason}});
+}
+
+bool Core::list_object(std::string_view json, Ms now, double wall_now) {
   Directory::Told told;
   try {
     told = directory_.take(json, configuration_.names, now, wall_now);
   } catch (const std::runtime_error& error) {
     log(log::Level::error, "list_refused", {{"reason", error.what()}});
-    return;
+    return false;
   }
   for (const std::string& fault : told.faults)
     log(log::Level::warning, "list_entry_unusable", {{"reason", fault}});
   log(log::Level::info, "list_taken",
       {{"version", std::to_string(directory_.version())},
        {"all", told.list.kind == ListKind::total ? "yes" : "no"},
+       {"old", told.old ? "yes" : "no"},
        {"entries", std::to_string(told.list.entries.size())}});
   pending_.push_back(std::move(told.list));
+  return true;
 }
 
-void Core::list_lost(const std::string& reason, Ms now) {
-  watching_ = false;
-  watch_at_ = now + kWatchAgain;
+void Core::list_lost(const std::string& reason) {
+  if (!configuration_.settings.list_on_request) reopen_ = true;  // else the module says when
   log(log::Level::warning, "list_lost", {{"reason", reason}});
   pending_.push_back(EndpointList{ListKind::lost, {}});
 }
 
-void Core::watch() {
-  watching_ = true;
-  effects_.push_back(OpenWatch{configuration_.discovery, directory_.version()});
+void Core::open_watch() {
+  reopen_ = false;
+  directory_.asked_again();
+  std::vector<ListWatch::Number> over;
+  ListWatch::Number number = watch_.open(over);
+  close_watches(over);
+  effects_.push_back(OpenWatch{number, configuration_.discovery, directory_.version()});
+}
+
+void Core::close_watches(const std::vector<ListWatch::Number>& numbers) {
+  for (ListWatch::Number number : numbers) effects_.push_back(CloseWatch{number});
 }
 
-void Core::probe_answered(EndpointId endpoint, Outcome outcome, Ms took, std::string_view body) {
+void Core::probe_answered(EndpointId endpoint, std::uint64_t number, Outcome outcome, Ms took,
+                          std::string_view body) {
+  auto probe = probing_.find(endpoint);
+  if (probe == probing_.end() || probe->second != number) return;  // of a module that is no more
+  probing_.erase(probe);
   LoadReport load = parse_load(body);
   if (verbose_) {
     constexpr const char* kOutcomes[] = {"delivered",   "app_error", "shed",    "expired",
@@ -270,37 +342,52 @@
 
 // ---- The module and its orders ----
 
-void Core::start_module(Ms now) {
+void Core::start_module() {
+  ++module_;
   brain_ = std::make_unique<Brain>(configuration_.settings);
   tables_ = std::make_unique<orders::Tables>(configuration_.settings.classes.size());
-  pending_.clear(), timers_.clear();
+  pending_.clear(), timers_.clear(), probing_.clear();
   pending_.push_back(EndpointList{ListKind::warm_copy, directory_.all()});
-  watch_at_ = now;
+  reopen_ |= !configuration_.settings.list_on_request && !watch_.any();
 }
 
 void Core::reconfigure(Configuration next, Ms now) {
   bool moved = next.discovery != configuration_.discovery, other = next.values != configuration_.values;
-  bool same = next.names.classes == configuration_.names.classes &&
-              next.names.localities == configuration_.names.localities &&
+  bool places = next.names.localities == configuration_.names.localities;
+  bool same = places && next.names.classes == configuration_.names.classes &&
               next.settings.proxies == configuration_.settings.proxies;
   next.listen = configuration_.listen;
   configuration_ = std::move(next);
   log(log::Level::info, "configuration_taken",
       {{"discovery", net::to_string(configuration_.discovery)}, {"fresh_module", other ? "yes" : "no"}});
-  if (moved) watch();
-  make_room();
+  // The list's localities are numbers of the former settings, and might be none of the present ones.
+  if (!places) directory_.rename(configuration_.names);
+  if (moved || !places) open_watch();
   if (!other) return;
   // Where classes, localities or the number of proxies are others, the joinings meant the former ones: those
   // streams dial again. Else the fresh module binds them all, and they go on by what they hold until it does.
   while (!same && !streams_.empty())
     refuse(connections_.find(streams_.begin()->second), "the settings have changed");
-  start_module(now);
+  start_module();
+  // Rule 5 is kept by both modules together: the fresh one is told what the former ones' messages still hold of the
+  // channel, and how many of the last ones each proxy was sent.
+  ChannelShared shared;
+  former_lines_ = 0;
   for (auto& [proxy, id] : streams_) {
     Connection& connection = connections_.at(id);
-    connection.marks.clear();  // of a module that is no more
+    for (const Mark& mark : connection.marks) former_lines_ += mark.lines;
+    shared.messages[proxy] = static_cast<int>(messages_within(connection, now));
     connection.joined.only_standing = false;
     join(connection.joined);
   }
+  shared.lines = former_lines_;
+  pending_.push_back(std::move(shared));
+}
+
+std::size_t Core::messages_within(Connection& c, Ms now) const {
+  Ms span = configuration_.settings.pushes_span.count();
+  while (!c.messages.empty() && now - c.messages.front() > span) c.messages.pop_front();
+  return c.messages.size();
 }
 
 void Core::act(const std::vector<Action>& actions, Ms now) {
@@ -311,18 +398,22 @@
     std::optional<std::uint32_t>& mark;
     const orders::Tables::Write write;
     void operator()(const WatchList& x) {
-      if (!x.on) core.watching_ = false, core.effects_.push_back(CloseWatch{});
-      else if (!core.watching_) core.watch();  // one that lives tells all that a new one would
+      if (!x.on) core.reopen_ = false, core.close_watches(core.watch_.close_all());
+      else if (!core.watch_.any()) core.open_watch();  // one that lives tells all that a new one would
     }
     void operator()(const FetchList&) {
       core.effects_.push_back(FetchTheList{core.configuration_.discovery});
     }
     void operator()(const SetTimer& x) { core.timers_.emplace(x.at.time_since_epoch().count(), x.token); }
     void operator()(const Probe& x) {
+      // Asked faster than it answers, one endpoint that hangs would hold up the probes of all others.
+      std::uint64_t number = core.last_probe_ + 1;
+      if (!core.probing_.emplace(x.endpoint, number).second) return;
+      core.last_probe_ = number;
       if (auto address = core.directory_.address(x.endpoint))
         core.effects_.push_back(
-            AskEndpoint{x.endpoint, *address, core.configuration_.settings.reports_by_probe});
-      else core.probe_answered(x.endpoint, Outcome::dial_failed, 0, {});
+            AskEndpoint{number, x.endpoint, *address, core.configuration_.settings.reports_by_probe});
+      else core.probe_answered(x.endpoint, number, Outcome::dial_failed, 0, {});
     }
     void operator()(const SendPeer&) {}  // the platform has no such messages
     void operator()(const SetLine& x) { core.tables_->apply(x, write); }
@@ -408,8 +499,14 @@
     auto stream = streams_.find(proxy);
     if (stream == streams_.end()) continue;
     ++counters_.messages;
-    counters_.lines += static_cast<std::uint64_t>(count_lines(parts, mark.has_value()));
-    if (mark) connections_.at(stream->second).marks.push_back({*stamp, *mark, ++last_order_, now});
+    double lines = count_lines(parts, mark.has_value());
+    counters_.lines += static_cast<std::uint64_t>(lines);
+    Connection& connection = connections_.at(stream->second);
+    messages_within(connection, now);  // forgets the older ones
+    connection.messages.push_back(now);
+    if (mark)
+      connection.marks.push_back(
+          {*stamp, *mark, ++last_order_, now, module_, lines + configuration_.settings.envelope_lines});
     send(stream->second, push_lines(std::move(parts), stamp, configuration_.names));
   }
   open_.clear();
@@ -488,7 +585,7 @@
     pending_.push_back(TimerFired{timers_.begin()->second});
     timers_.erase(timers_.begin());
   }
-  if (!configuration_.settings.list_on_request && !watching_ && now >= watch_at_) watch();
+  if (reopen_ && now >= watch_.retry_at()) open_watch();
   if (pending_.empty()) return;
   act(brain_->handle(at(now), std::exchange(pending_, {})), now);
 }
@@ -497,6 +594,7 @@
   if (!pending_.empty()) return 0;
   Ms due = next_upkeep_;
   if (!timers_.empty()) due = std::min(due, timers_.begin()->first);
+  if (reopen_) due = std::min(due, watch_.retry_at());
   return due;
 }
 
--- a/src/platform/core.h
+++ b/src/platform/core.h
@@ -16,12 +16,16 @@
 #include "orders/tables.h"
 #include "platform/configuration.h"
 #include "platform/directory.h"
+#include "platform/list_watch.h"
 #include "platform/message.h"
 
 namespace beamshunt::platform {
 
 enum class ConnectionId : std::uint64_t {};
 
+// Endpoints asked at a time: a descriptor each, as part of all that the process may hold.
+std::size_t most_probes(std::size_t sockets);
+
 // ---- Effects: what the shell is to do ----
 struct SendBytes {
   ConnectionId to{};
@@ -31,15 +35,19 @@
   ConnectionId connection{};
   bool at_once = false;  // else after what was sent before
 };
-struct OpenWatch {  // in place of the present one, which lasts until the new one tells something
+struct OpenWatch {
+  ListWatch::Number number = 0;  // what comes of it is told by
   net::Address discovery{};
   std::uint64_t from = 0;
 };
-struct CloseWatch {};
+struct CloseWatch {
+  ListWatch::Number number = 0;
+};
 struct FetchTheList {
   net::Address discovery{};
 };
 struct AskEndpoint {
+  std::uint64_t number = 0;  // what comes of it is told by
   EndpointId endpoint{};
   net::Address address{};
   bool for_load = false;  // the load report too
@@ -54,7 +62,7 @@
 
 struct Counters {
   std::uint64_t messages = 0, lines = 0, reports = 0, spoilt = 0, refused = 0, evicted = 0, silent = 0,
-                unanswered_marks = 0;
+                unanswered_marks = 0, late = 0;
 };
 
 class Core {
@@ -66,12 +74,20 @@
   void opened(ConnectionId id, Ms now);
   void bytes(ConnectionId id, std::string_view bytes, Ms now);
   void closed(ConnectionId id, const std::string& reason, Ms now);
-  void list_object(std::string_view json, Ms now, double wall_now);
-  void list_lost(const std::string& reason, Ms now);
-  void probe_answered(EndpointId endpoint, Outcome outcome, Ms took, std::string_view body);
+  void watch_bytes(ListWatch::Number number, std::string_view piece, Ms now, double wall_now);
+  void watch_ended(ListWatch::Number number, const std::string& reason, Ms now);
+  void fetch_answered(std::string_view json, Ms now, double wall_now);
+  void fetch_failed(const std::string& reason);
+  void probe_answered(EndpointId endpoint, std::uint64_t number, Outcome outcome, Ms took,
+                      std::string_view body);
   // Another configuration from this instant on. Where the module's settings differ a fresh module takes over.
   void reconfigure(Configuration next, Ms now);
 
+  // Descriptors are for who has joined: who is to make room for others; nothing while there is enough of it. What
+  // has come of it is to be read first, for it may be a joining.
+  std::optional<ConnectionId> to_evict();
+  void evict(ConnectionId id);
+
   void turn(Ms now);
   Ms next_due() const;  // when turn() must come at the latest
   std::vector<Effect> take_effects() { return std::exchange(effects_, {}); }
@@ -88,6 +104,8 @@
     std::uint32_t serial = 0;
     std::uint64_t order = 0;  // among all messages of this channel
     Ms sent = 0;
+    std::uint64_t module = 0;  // that ordered it
+    double lines = 0;          // that it counts in the channel
   };
   struct Connection {
     enum class Is { opening, collector, proxy };
@@ -97,6 +115,8 @@
     ProxyJoins joined;  // of a proxy
     int unusable = 0;   // messages in a row
     std::deque<Mark> marks;
+    std::deque<std::uint32_t> settled;  // stamps of former marks: an answer to one is late, and sound
+    std::deque<Ms> messages;            // times at which it was written to, within the span that is limited
   };
   using Connections = std::map<ConnectionId, Connection>;
   using Parts = std::vector<Part>;
@@ -111,23 +131,28 @@
   void send(ConnectionId to, std::string bytes);
   void refuse(Connections::iterator c, const std::string& reason);
   void end(Connections::iterator c, const std::string& reason);
-  void make_room();
   void upkeep(Ms now);
   bool mark_overdue(const Mark& mark, Ms now) const;
   void confirm(Connection& c, std::size_t marks, Ms now);
+  void settle(Connection& c);
+  std::size_t messages_within(Connection& c, Ms now) const;
 
-  void start_module(Ms now);
+  void start_module();
   void join(const ProxyJoins& joined);
   void act(const std::vector<Action>& actions, Ms now);
   void write(ProxyId proxy, const orders::Order& order);
   void write_levels(ProxyId proxy, TableId table, ClassMask classes);
   void send_messages(std::optional<std::uint32_t> mark, Ms now);
-  void watch();
+  bool list_object(std::string_view json, Ms now, double wall_now);
+  void list_lost(const std::string& reason);
+  void open_watch();
+  void close_watches(const std::vector<ListWatch::Number>& numbers);
   void note_view(Ms now);
   void log(log::Level level, std::string event, log::Fields fields);
 
   Configuration configuration_;
   Directory directory_;
+  ListWatch watch_;
   std::unique_ptr<Brain> brain_;
   std::unique_ptr<orders::Tables> tables_;
   std::vector<Event> pending_;
@@ -140,8 +165,11 @@
   std::uint64_t last_order_ = 0;
   std::uint16_t last_stamp_ = 0;                     // the wire's marks have so many bits
   std::deque<std::pair<std::uint64_t, Ms>> passed_;  // answered marks' orders, growing, and when it was so
-  bool watching_ = false;
-  Ms watch_at_ = 0, next_upkeep_ = 0;
+  std::uint64_t module_ = 0, last_probe_ = 0;
+  std::map<EndpointId, std::uint64_t> probing_;  // those that the present module waits for, and their numbers
+  double former_lines_ = 0;                      // of former modules' messages that are not confirmed
+  bool reopen_ = false;                          // the watch at discovery's present address
+  Ms next_upkeep_ = 0;
   Counters counters_;
   // For the log alone: nothing is decided by it.
   struct View {
--- a/src/platform/directory.cpp
+++ b/src/platform/directory.cpp
@@ -36,9 +36,9 @@
   if (word == "terminated") return EndpointState::terminated;
   return std::nullopt;
 }
-std::optional<Locality> locality(const json& entry, const settings::Names& names) {
+std::optional<Locality> locality(const std::string& az, const settings::Names& names) {
   try {
-    return settings::locality(names, text(entry, "az").value_or(""));
+    return settings::locality(names, az);
   } catch (const settings::InputError&) {
     return std::nullopt;
   }
@@ -68,7 +68,10 @@
   if (!version) throw std::runtime_error("field rev is no version");
 
   Told told;
-  told.list.kind = whole->get<bool>() ? ListKind::total : ListKind::incremental;
+  bool all = whole->get<bool>();
+  told.old = *version < static_cast<double>(version_);
+  // A whole list of an older revision leaves out what came since: it says of nobody that he is gone.
+  told.list.kind = all && !told.old ? ListKind::total : ListKind::incremental;
   std::set<EndpointId> named;
   auto fault = [&](const std::string& uid, const char* field) {
     if (told.faults.size() < kMostFaults) told.faults.push_back(uid + ": field " + field + " is unusable");
@@ -80,16 +83,22 @@
       continue;
     }
     auto known = find(*uid);
-    auto where = locality(entry, names);
+    std::string az = text(entry, "az").value_or("");
+    auto where = locality(az, names);
     auto is = state(entry);
     if (!where) fault(*uid, "az");
     if (!is) fault(*uid, "state");
     // Of an endpoint never heard of before, these two can't be guessed; of a known one, what was said holds.
     if (!known && (!where || !is)) continue;
+    if (told.old && known) {  // no undrain, no return of who is gone, no start taken back
+      const Held& held = held_.at(*known);
+      bool later = number(entry, "boot_ms", kMostWall).value_or(0) > held.started_wall;
+      if (!later && (!is || *is <= held.listed.state)) continue;
+    }
     EndpointId id = id_of(*uid);
     Held& held = held_[id];
     held.uid = *uid, held.listed.id = id;
-    if (where) held.listed.locality = *where;
+    if (where) held.listed.locality = *where, held.az = az;
     if (is) held.listed.state = *is;
     held.present = held.listed.state != EndpointState::terminated;
     if (auto cell = number(entry, "pod_group", 4e9); cell && *cell == std::floor(*cell))
@@ -109,14 +118,24 @@
     named.insert(id);
     told.list.entries.push_back(held.listed);
   }
-  // A version that was taken in part is asked for again.
-  if (told.faults.empty()) version_ = static_cast<std::uint64_t>(*version);
+  // A version that was taken in part is asked for again, however sound those after it are: what it had to tell of
+  // the spoilt entry may be a drain.
+  whole_ = told.faults.empty() && (whole_ || all);
+  if (whole_) version_ = static_cast<std::uint64_t>(*version);
   if (told.list.kind != ListKind::total) return told;
   for (auto& [id, held] : held_)
     if (!named.contains(id)) held.present = false, held.listed.state = EndpointState::terminated;
   return told;
 }
 
+void Directory::rename(const settings::Names& names) {
+  for (auto& [id, held] : held_)
+    if (auto where = locality(held.az, names)) held.listed.locality = *where;
+    else
+      held.present = false, held.listed.state = EndpointState::terminated, held.listed.locality = Locality{};
+  version_ = 0;
+}
+
 std::vector<ListedEndpoint> Directory::all() const {
   std::vector<ListedEndpoint> out;
   for (auto& [id, held] : held_)
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -22,8 +22,6 @@
 constexpr Ms kConnectMost = 1000;             // ms to discovery, on the same network
 constexpr Ms kListQuiet = 4500;               // ms; a watch's empty lines come every 2 s: two are missing
 constexpr Ms kProbeWithin = 500;              // ms for an endpoint to take a connection, and again to answer
-constexpr std::size_t kMostProbes = 16;       // at a time: a descriptor each
-constexpr std::size_t kMostProbesDue = 1024;  // that wait for one of those; more are not asked
 constexpr std::size_t kMostUnsent = 1048576;  // bytes that a proxy leaves unread before it is given up
 constexpr std::size_t kMostATurn = 65536;     // bytes read from one connection in a turn
 constexpr std::size_t kMostListBytes = 4 * 1048576;  // of one object of discovery
@@ -83,9 +81,6 @@
     ConnectionId id{++last_connection_};
     connections_[id] = connection;
     core_.opened(id, reactor_.now());
-    // Hundreds may be accepted in one turn of the loop: who has to go for this one goes now, or descriptors
-    // run out before the turn ends and the listener turns away whoever comes next, be it a proxy.
-    carry_out_all();
     connection->start({{},
                        [this, id](std::string_view bytes) {
                          core_.bytes(id, bytes, reactor_.now());
@@ -97,6 +92,17 @@
                          core_.closed(id, net::reason_name(reason), reactor_.now());
                          soon();
                        }});
+    // Hundreds may be accepted in one turn of the loop: who has to go for this one goes now, or descriptors
+    // run out before the turn ends and the listener turns away whoever comes next, be it a proxy. Nor has the turn
+    // read what they sent: a joining that waits in the kernel's buffer is no reason to be turned away.
+    while (auto oldest = core_.to_evict()) {
+      if (auto c = connections_.find(*oldest); c != connections_.end()) {
+        auto hold = c->second;
+        hold->read_now();
+      }
+      core_.evict(*oldest);
+      carry_out_all();
+    }
     soon();
   }
 
@@ -115,66 +121,49 @@
     c.mapped()->close_after_sending();
   }
   void carry_out(OpenWatch& e) {
-    std::uint64_t number = ++last_watch_;
-    auto begun = std::make_shared<std::string>();  // a line that has not ended
+    ListWatch::Number number = e.number;
     watches_[number] = client_.listen(
         e.discovery, http::request("GET", "/api/targets?watch=1&from=" + std::to_string(e.from)), kListQuiet,
-        [this, number, begun](std::string_view piece) {
-          if (!watches_.contains(number)) return;
-          // The new watch tells: those before it have done their service.
-          while (watches_.begin()->first < number) drop_watch(watches_.begin()->first);
-          begun->append(piece);
-          std::size_t from = 0;
-          for (std::size_t end; (end = begun->find('\n', from)) != begun->npos; from = end + 1)
-            if (std::string_view line = std::string_view(*begun).substr(from, end - from);
-                line.find_first_not_of(" \r") != line.npos)
-              core_.list_object(line, reactor_.now(), base::wall_ms());
-          begun->erase(0, from);
-          if (begun->size() > kMostListBytes) lose_watch(number, "an object is too long");
+        [this, number](std::string_view piece) {
+          core_.watch_bytes(number, piece, reactor_.now(), base::wall_ms());
           soon();
         },
         [this, number](http::Client::Answer&& answer) {
-          if (watches_.contains(number))
-            lose_watch(number, answer.failure == http::Client::Failure::none
-                                   ? "the watch ended with status " + std::to_string(answer.message.status)
-                                   : answer.detail);
+          watches_.erase(number);
+          core_.watch_ended(number, failure(answer), reactor_.now());
+          soon();
         });
   }
-  void drop_watch(std::uint64_t number) {
-    if (auto watch = watches_.extract(number); !watch.empty()) client_.cancel(watch.mapped());
-  }
-  void lose_watch(std::uint64_t number, const std::string& reason) {
-    drop_watch(number);
-    // While a former one lives, or a newer one is on its way, the list is not lost for that.
-    if (watches_.empty()) core_.list_lost(reason, reactor_.now());
-    soon();
-  }
-  void carry_out(CloseWatch&) {
-    while (!watches_.empty()) drop_watch(watches_.begin()->first);
+  void carry_out(CloseWatch& e) {
+    if (auto watch = watches_.extract(e.number); !watch.empty()) client_.cancel(watch.mapped());
   }
   void carry_out(FetchTheList& e) {
     client_.ask(e.discovery, http::request("GET", "/api/targets"), kListQuiet,
                 [this](http::Client::Answer&& answer) {
                   if (answer.failure == http::Client::Failure::none && answer.message.status == 200)
-                    core_.list_object(answer.message.body, reactor_.now(), base::wall_ms());
-                  else core_.list_lost("fetch failed: " + answer.detail, reactor_.now());
+                    core_.fetch_answered(answer.message.body, reactor_.now(), base::wall_ms());
+                  else core_.fetch_failed(failure(answer));
                   soon();
                 });
   }
+  static std::string failure(const http::Client::Answer& answer) {
+    if (answer.failure != http::Client::Failure::none) return answer.detail;
+    return "it ended with status " + std::to_string(answer.message.status);
+  }
   void carry_out(AskEndpoint& e) {
-    if (due_.size() < kMostProbesDue) due_.push_back(e);
+    due_.push_back(e);
     probe();
   }
   void probe() {
-    for (; asked_ < kMostProbes && !due_.empty(); due_.pop_front()) {
+    for (; asked_ < most_probes(core_.configuration().sockets) && !due_.empty(); due_.pop_front()) {
       ++asked_;
       Ms begun = reactor_.now();
       client_.ask(due_.front().address,
                   http::request("GET", due_.front().for_load ? "/-/load" : "/-/healthy"), kProbeWithin,
-                  [this, begun, endpoint = due_.front().endpoint](http::Client::Answer&& answer) {
+                  [this, begun, e = due_.front()](http::Client::Answer&& answer) {
                     --asked_;
-                    core_.probe_answered(endpoint, probe::outcome_of(answer), reactor_.now() - begun,
-                                         answer.message.body);
+                    core_.probe_answered(e.endpoint, e.number, probe::outcome_of(answer),
+                                         reactor_.now() - begun, answer.message.body);
                     probe();
                     soon();
                   });
@@ -199,10 +188,10 @@
   std::unique_ptr<net::Listener> listener_;
   std::unordered_map<ConnectionId, std::shared_ptr<net::Connection>> connections_;
   std::deque<std::weak_ptr<net::Connection>> leaving_;
-  std::map<std::uint64_t, http::Client::Call> watches_;  // by number; the newest is what counts
-  std::deque<AskEndpoint> due_;
+  std::map<ListWatch::Number, http::Client::Call> watches_;
+  std::deque<AskEndpoint> due_;  // one an endpoint at most: the core asks none that it waits for
   std::size_t asked_ = 0;
-  std::uint64_t last_connection_ = 0, last_watch_ = 0;
+  std::uint64_t last_connection_ = 0;
   bool turn_due_ = false;
   std::optional<net::Reactor::TimerId> timer_;
 };
--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -28,7 +28,7 @@
   std::vector<ConnectionId> all{rig.join(0), rig.join(1), rig.join(2)};
   rig.live(1500, all);
   for (ConnectionId p : all) ASSERT_TRUE(rig.tables(p)["look"].contains("s-a"));
-  rig.core.list_object(list(6, false, {target("s-a", "north", "terminating")}).dump(), rig.now, rig.now);
+  rig.tell(list(6, false, {target("s-a", "north", "terminating")}));
   rig.live(200, all);
   for (ConnectionId p : all)
     for (auto& [c, rows] : rig.tables(p)) {
@@ -160,10 +160,8 @@
 
 // Changes weights for all, so that each proxy is written to.
 void stir(Rig& rig, int rev) {
-  rig.core.list_object(list(static_cast<std::uint64_t>(rev), false,
-                            {target("s-a", "north", rev % 2 ? "in_service" : "terminating")})
-                           .dump(),
-                       rig.now, rig.now);
+  rig.tell(list(static_cast<std::uint64_t>(rev), false,
+                {target("s-a", "north", rev % 2 ? "in_service" : "terminating")}));
 }
 
 TEST(PlatformCore, ASilentStreamIsFoundByTheAnswersOfTheOthers) {
@@ -249,7 +247,7 @@
   Rig rig;
   rig.live(20000);
   EXPECT_EQ(rig.got<OpenWatch>().size(), 1u);
-  rig.core.list_lost("gone", rig.now);
+  rig.core.watch_ended(rig.newest_watch(), "gone", rig.now);
   rig.live(3000);
   EXPECT_EQ(rig.got<OpenWatch>().size(), 2u);
 }
@@ -289,6 +287,260 @@
   EXPECT_NE(rig.error(p).find("settings have changed"), std::string::npos);
 }
 
+// ---- Where two events cross ----
+
+TEST(PlatformCore, AFormerWatchTellsUntilTheNewOneHasTold) {
+  Rig rig;
+  ConnectionId p = rig.join(0);
+  rig.tell(list(5, false, {}));
+  rig.live(500, {p});
+  auto former = rig.newest_watch();
+  json next = configuration();
+  next["discovery"] = "127.0.0.1:2";
+  rig.core.reconfigure(parse_configuration(next.dump()), rig.now);
+  rig.turn();
+  auto newer = rig.newest_watch();
+  ASSERT_NE(former, newer);
+  rig.core.watch_bytes(newer, "\n", rig.now, rig.now);           // a sign of life is no list
+  rig.core.watch_bytes(newer, "no object\n", rig.now, rig.now);  // nor is this
+  rig.tell(former, list(6, false, {target("s-a", "north", "terminating")}));
+  rig.turn();
+  EXPECT_FALSE(rig.tables(p)["look"].contains("s-a")) << "the former watch was the only one to tell";
+  EXPECT_TRUE(rig.got<CloseWatch>().empty());
+  rig.tell(newer, list(7, false, {target("s-b", "north", "terminating")}));
+  rig.turn();
+  ASSERT_EQ(rig.got<CloseWatch>().size(), 1u);
+  EXPECT_EQ(rig.got<CloseWatch>()[0].number, former);
+  rig.tell(former, list(8, true, {target("s-a", "north"), target("s-b", "north")}));  // its last bytes, late
+  rig.core.watch_ended(former, "reset", rig.now);
+  rig.turn();
+  EXPECT_FALSE(rig.tables(p)["look"].contains("s-b"));
+  EXPECT_EQ(rig.count_logged("list_lost"), 0u);
+}
+
+TEST(PlatformCore, ANewWatchThatFailsIsOpenedAgainWhileTheFormerOneStillTells) {
+  Rig rig;
+  rig.tell(list(6, false, {}));
+  auto former = rig.newest_watch();
+  json next = configuration();
+  next["discovery"] = "127.0.0.1:2";
+  rig.core.reconfigure(parse_configuration(next.dump()), rig.now);
+  rig.turn();
+  for (int k = 0; k < 4; ++k) {
+    auto tried = rig.newest_watch();
+    rig.core.watch_ended(tried, "refused", rig.now);
+    rig.live(2100);  // before what it has to tell counts as told, whether heard or not
+    EXPECT_GT(rig.newest_watch(), tried);
+    EXPECT_EQ(rig.got<OpenWatch>().back().discovery.port, 2);
+  }
+  EXPECT_EQ(rig.count_logged("list_lost"), 0u) << "the former one lives";
+  rig.core.watch_ended(former, "closed after the move", rig.now);
+  rig.turn();
+  EXPECT_EQ(rig.count_logged("list_lost"), 0u) << "the newer one is on its way";
+  rig.core.watch_ended(rig.newest_watch(), "refused", rig.now);
+  rig.turn();
+  EXPECT_EQ(rig.count_logged("list_lost"), 1u);
+}
+
+TEST(PlatformCore, MovesThereAndBackLeaveOneWatchAtTheLastAddress) {
+  Rig rig;
+  rig.tell(list(6, false, {}));
+  for (int port : {2, 3, 2, 1}) {
+    json next = configuration();
+    next["discovery"] = "127.0.0.1:" + std::to_string(port);
+    rig.core.reconfigure(parse_configuration(next.dump()), rig.now);
+    rig.turn();
+  }
+  EXPECT_EQ(rig.got<CloseWatch>().size(), 3u) << "each that had not told, as the next move came";
+  EXPECT_EQ(rig.got<OpenWatch>().back().discovery.port, 1);
+  rig.tell(list(7, false, {}));
+  rig.turn();
+  EXPECT_EQ(rig.got<CloseWatch>().size(), 4u);
+}
+
+TEST(PlatformCore, AnObjectInHalfAtTheEndOfItsWatchIsAskedForAgain) {
+  Rig rig;
+  ConnectionId p = rig.join(0);
+  rig.live(500, {p});
+  std::string object = list(6, false, {target("s-a", "north", "terminating")}).dump() + "\n";
+  auto first = rig.newest_watch();
+  rig.core.watch_bytes(first, object.substr(0, object.size() / 2), rig.now, rig.now);
+  rig.core.watch_ended(first, "no answer in time", rig.now);
+  rig.live(3000, {p});
+  ASSERT_GT(rig.newest_watch(), first);
+  EXPECT_EQ(rig.got<OpenWatch>().back().from, 5u);
+  rig.core.watch_bytes(first, object.substr(object.size() / 2), rig.now, rig.now);  // late, and of nobody
+  rig.turn();
+  EXPECT_TRUE(rig.tables(p)["look"].contains("s-a"));
+  rig.core.watch_bytes(rig.newest_watch(), object, rig.now, rig.now);
+  rig.turn();
+  EXPECT_FALSE(rig.tables(p)["look"].contains("s-a"));
+}
+
+TEST(PlatformCore, AFetchThatFailsWhileAWatchTellsLosesNoList) {
+  Rig rig;
+  rig.core.fetch_failed("it ended with status 503");
+  rig.turn();
+  EXPECT_EQ(rig.count_logged("list_lost"), 0u);
+  rig.core.watch_ended(rig.newest_watch(), "reset", rig.now);
+  rig.core.fetch_failed("it ended with status 503");
+  rig.turn();
+  EXPECT_EQ(rig.count_logged("list_lost"), 2u);
+}
+
+TEST(PlatformCore, LateAnswersToSettledMarksAreNoFaultOfTheStream) {
+  Rig rig;
+  ConnectionId p = rig.join(0), other = rig.join(1);
+  rig.turn();
+  std::vector<json> acks;
+  auto hold_back = [&] {
+    for (const json& m : rig.messages(p))
+      if (m.contains("stamp"))
+        acks.push_back({{"t", "ack"}, {"node", 0}, {"nonce", m["stamp"]}, {"latency", 9.0}});
+  };
+  for (int k = 0; k < 8; ++k) {
+    stir(rig, 6 + k);
+    rig.live(1100, {other});
+    rig.say(p,
+            {{"t", "demand"}, {"node", 0}, {"route", "buy"}, {"total", 4}, {"errors", 0}, {"interval", 500}});
+  }
+  rig.live(3000, {other});
+  hold_back();
+  ASSERT_GE(acks.size(), 5u);
+  ASSERT_GT(rig.core.counters().unanswered_marks, 4u);
+  for (const json& ack : acks) rig.say(p, ack);  // all at once, after their wait was over
+  rig.live(300, {other});
+  EXPECT_FALSE(rig.is_closed(p)) << "a stream that this side ends does not count as left";
+  EXPECT_EQ(rig.core.counters().spoilt, 0u);
+  EXPECT_GT(rig.core.counters().late, 4u);
+}
+
+TEST(PlatformCore, AnswersToAFormerModulesMarksAreNoFaultAndFreeItsLines) {
+  Rig rig;
+  std::vector<ConnectionId> all;
+  for (int k = 0; k < 6; ++k) all.push_back(rig.join(k));
+  rig.live(200);  // nobody has answered yet
+  for (int k = 0; k < 5; ++k) {
+    json next = configuration();
+    next["settings"]["guarantees"]["warm_up"] = 9000.0 + k;
+    rig.core.reconfigure(parse_configuration(next.dump()), rig.now);
+    rig.live(100);
+  }
+  rig.live(1000, all);
+  for (ConnectionId p : all) EXPECT_FALSE(rig.is_closed(p));
+  EXPECT_EQ(rig.core.counters().spoilt, 0u);
+}
+
+TEST(PlatformCore, AFreshModuleKeepsTheMessagesAllowedToAProxyTogetherWithTheFormerOne) {
+  json c = configuration();
+  c["settings"]["family_info"]["pushes_allowed"] = 6;
+  Rig rig(c);
+  ConnectionId p = rig.join(0);
+  Ms begun = rig.now;
+  for (int k = 0; k < 12; ++k) {  // other settings time and again, and a list that moves beneath them
+    c["settings"]["guarantees"]["warm_up"] = 9000.0 + k;
+    rig.core.reconfigure(parse_configuration(c.dump()), rig.now);
+    stir(rig, 6 + k);
+    rig.live(700, {p});
+  }
+  std::size_t messages = 0;
+  for (const json& m : rig.messages(p)) messages += m["t"] == "push" && !m.value("part", false);
+  ASSERT_LT(rig.now - begun, 10000);
+  EXPECT_LE(messages, 6u + 12u) << "a bind each, and what is allowed besides";
+}
+
+TEST(PlatformCore, OtherLocalitiesFindTheListByItsNewNumbers) {
+  Rig rig;
+  rig.join(0);
+  rig.live(500);
+  json next = configuration();
+  next["settings"]["azs"] = {"south"};  // one of two, with another number
+  next["settings"]["locality"] = "south";
+  rig.core.reconfigure(parse_configuration(next.dump()), rig.now);
+  rig.turn();
+  EXPECT_EQ(rig.got<OpenWatch>().back().from, 0u)
+      << "the list may hold others that were of no locality before";
+  ConnectionId p = rig.join(1, "south");
+  rig.live(500, {p});
+  EXPECT_TRUE(rig.tables(p)["buy"].contains("s-c"));
+  EXPECT_FALSE(rig.tables(p)["buy"].contains("s-a"));
+  EXPECT_FALSE(rig.tables(p)["look"].contains("s-a"));
+}
+
+TEST(PlatformCore, AnAnswerToAFormerModulesProbeIsNotThePresentOnes) {
+  Rig rig;
+  rig.live(1100);
+  auto asked = rig.got<AskEndpoint>();
+  ASSERT_FALSE(asked.empty());
+  rig.live(5000);
+  std::map<EndpointId, int> times;
+  for (auto& ask : rig.got<AskEndpoint>()) ++times[ask.endpoint];
+  for (auto& [endpoint, n] : times) EXPECT_EQ(n, 1) << "not again while it has not answered";
+  json next = configuration();
+  next["settings"]["guarantees"]["warm_up"] = 9000.0;
+  rig.core.reconfigure(parse_configuration(next.dump()), rig.now);
+  rig.live(1100);
+  EXPECT_EQ(rig.got<AskEndpoint>().size(), 2 * asked.size()) << "the fresh module asks for itself";
+  std::size_t before = rig.got<AskEndpoint>().size();
+  for (auto& ask : asked) rig.core.probe_answered(ask.endpoint, ask.number, Outcome::delivered, 3, "");
+  rig.live(1100);
+  EXPECT_EQ(rig.got<AskEndpoint>().size(), before) << "its own probes are still out";
+}
+
+TEST(PlatformCore, WhoIsAskedToMakeRoomAndHasJoinedMeanwhileStays) {
+  Rig rig(configuration(128));
+  std::vector<ConnectionId> early;
+  ConnectionId proxy{};
+  for (std::uint64_t k = 1; k <= 200; ++k) {
+    ConnectionId id{1000 + k};
+    rig.core.opened(id, rig.now);
+    if (k == 1) proxy = id;
+    while (auto oldest = rig.core.to_evict()) {
+      // The shell reads it a last time, and there the joining is.
+      if (*oldest == proxy)
+        rig.say(proxy, {{"t", "hello"}, {"node", 3}, {"locality", "north"}, {"w", 20.0}, {"cold", true}});
+      rig.core.evict(*oldest);
+    }
+  }
+  rig.turn();
+  EXPECT_FALSE(rig.is_closed(proxy));
+  EXPECT_EQ(rig.core.proxies(), 1u);
+}
+
+TEST(PlatformCore, AStreamThatWasJudgedSilentAndItsSuccessorInOneTurn) {
+  Rig rig;
+  ConnectionId alive = rig.join(0), silent = rig.join(1);
+  rig.live(500, {alive, silent});
+  stir(rig, 6);
+  rig.live(1000, {alive});
+  stir(rig, 7);
+  ConnectionId successor = rig.join(1);  // just before it would be judged
+  rig.live(3000, {alive, successor});
+  EXPECT_TRUE(rig.is_closed(silent));
+  EXPECT_FALSE(rig.is_closed(successor));
+  rig.answer(silent);                         // its last bytes
+  rig.core.closed(silent, "reset", rig.now);  // and its end, both late
+  EXPECT_EQ(rig.core.proxies(), 2u);
+  EXPECT_EQ(rig.core.counters().spoilt, 0u);
+}
+
+TEST(PlatformCore, AJoiningInTwoPiecesAcrossTheLimitIsTakenOrRefusedAsAWhole) {
+  for (bool after : {false, true}) {
+    Rig rig;
+    ConnectionId id = rig.open();
+    std::string hello = R"({"t":"hello","node":1,"locality":"north","w":1,"cold":true})";
+    rig.bytes(id, hello.substr(0, 20));
+    rig.live(after ? 1200 : 900);
+    // More comes in the same read: of a connection that was refused, nobody takes it.
+    rig.bytes(id, hello.substr(20) + "\n" +
+                      R"({"t":"demand","node":1,"route":"buy","total":4,"errors":0,"interval":500})" + "\n");
+    rig.turn();
+    EXPECT_EQ(rig.core.proxies(), after ? 0u : 1u);
+    EXPECT_EQ(rig.core.counters().reports, after ? 0u : 1u);
+    EXPECT_EQ(rig.is_closed(id), after);
+  }
+}
+
 TEST(PlatformCore, RandomBytesInRandomPiecesNeverReachAnotherPeer) {
   beamshunt::test::Draw draw(11);
   Rig rig;
--- a/tests/platform/directory_test.cpp
+++ b/tests/platform/directory_test.cpp
@@ -72,6 +72,48 @@
   EXPECT_EQ(directory.version(), 2u);
 }
 
+TEST_F(DirectoryTest, AnOlderRevisionTakesBackNoDrainAndNoStart) {
+  take(four());
+  json restarted = target("s-c", "south");
+  restarted["boot_ms"] = 5e11 - 100;
+  take(list(9, false,
+            {target("s-a", "north", "terminating"), target("s-b", "north", "terminated"), restarted}));
+  for (bool all : {false, true}) {  // a former watch's answer, or a whole list from a source that lags
+    json older = four();
+    older["all"] = all, older["rev"] = all ? 6 : 8;
+    older["targets"].push_back(target("s-n", "north"));
+    auto told = take(older);
+    EXPECT_TRUE(told.old);
+    EXPECT_EQ(told.list.kind, ListKind::incremental) << "it does not know who came since";
+    EXPECT_EQ(state("s-a"), EndpointState::terminating);
+    EXPECT_EQ(state("s-b"), EndpointState::terminated);
+    EXPECT_EQ(state("s-n"), EndpointState::in_service);
+    for (const ListedEndpoint& e : directory.all()) EXPECT_EQ(e.started_known, e.id == directory.find("s-c"));
+    for (const ListedEndpoint& e : told.list.entries) EXPECT_EQ(e.id, directory.find("s-n"));
+  }
+  EXPECT_EQ(directory.version(), 6u) << "from there on it tells again what came since";
+  take(list(10, false, {target("s-a", "north")}));
+  EXPECT_EQ(state("s-a"), EndpointState::in_service) << "a newer one may take a drain back";
+}
+
+TEST_F(DirectoryTest, WhatWasSpoiltIsAskedForAgainHoweverSoundWhatFollows) {
+  take(four());
+  take(list(6, false, {target("s-a", "north", "odd")}));
+  take(list(7, false, {target("s-b", "north", "terminating")}));
+  EXPECT_EQ(directory.version(), 5u) << "the sixth may have told of a drain";
+  directory.asked_again();
+  take(list(7, false, {target("s-a", "north", "terminating"), target("s-b", "north", "terminating")}));
+  EXPECT_EQ(directory.version(), 7u);
+}
+
+TEST_F(DirectoryTest, OtherLocalitiesLeaveOutWhoIsInNoneOfThem) {
+  take(four());
+  directory.rename({{"west", "south"}, {"look"}});
+  ASSERT_EQ(directory.all().size(), 2u);
+  for (const ListedEndpoint& e : directory.all()) EXPECT_EQ(e.locality, Locality{1});
+  EXPECT_EQ(directory.version(), 0u);
+}
+
 TEST_F(DirectoryTest, AStartIsOneInstantWhateverTheWallClockDoesLater) {
   json started = target("s-a", "north");
   started["boot_ms"] = 5e11 - 400;
--- a/tests/platform/rig.h
+++ b/tests/platform/rig.h
@@ -78,8 +78,15 @@
   ConnectionId open() {
     ConnectionId id{++last_};
     core.opened(id, now);
+    while (auto oldest = core.to_evict()) core.evict(*oldest);
     return id;
   }
+  // What discovery tells on a watch: the newest one, or that of a number.
+  ListWatch::Number newest_watch() const { return got<OpenWatch>().back().number; }
+  void tell(const json& object) { tell(newest_watch(), object); }
+  void tell(ListWatch::Number number, const json& object) {
+    core.watch_bytes(number, object.dump() + "\n", now, now);
+  }
   void bytes(ConnectionId id, const std::string& bytes) { core.bytes(id, bytes, now); }
   void say(ConnectionId id, const json& message) { bytes(id, message.dump() + "\n"); }
   ConnectionId join(int node, const std::string& locality = "north") {
