A held address is waited for, an unread log holds up no end, an unknown list binds nobody

Seen by the new process tests (PlatformProcess, real sockets, each crossing forced by a stop signal or by the peer): - An address that the process before still holds refused the start at once. It is looked at again each 50 ms for 5 s. net/connection.cpp made the error's text before it took errno: the message read 'Success', and no code could tell the case. - With a full pipe as standard error SIGTERM ended nothing: the end joined the log's thread (log.cpp, static pool), and without that waited on the C library's lock of stderr in ios_base::Init (seen in a debugger).

--- a/src/log/log.h
+++ b/src/log/log.h
@@ -2,6 +2,7 @@
 // queue to a thread of their own, the oldest are dropped when it is full, and repeats are only counted.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -43,7 +44,7 @@
  public:
   // `file` empty: standard error. Throws std::runtime_error if the file can't be opened.
   Log(const std::string& file, Level least);
-  ~Log();
+  ~Log();  // gives queued lines a moment to go out, and no more: nobody may be reading them
   void least(Level level) { least_ = level; }
   void write(Level level, const std::string& event, const Fields& fields = {});
 
@@ -51,6 +52,8 @@
   Level least_;
   RepeatLimit repeats_;
   std::shared_ptr<spdlog::logger> logger_;
+  std::uint64_t posted_ = 0;
+  std::shared_ptr<std::atomic<std::uint64_t>> written_;
 };
 
 }  // namespace beamshunt::log
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -320,8 +320,10 @@
   set_option(fd, SOL_SOCKET, SO_REUSEADDR, 1);
   sockaddr_in name = to_sockaddr(at);
   if (fd < 0 || ::bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof name) != 0 ||
-      ::listen(fd, kBacklog) != 0)
-    throw std::system_error(errno, std::generic_category(), "cannot listen at " + to_string(at));
+      ::listen(fd, kBacklog) != 0) {
+    int error = errno;  // before the text is made, which may change it
+    throw std::system_error(error, std::generic_category(), "cannot listen at " + to_string(at));
+  }
   socklen_t size = sizeof name;
   ::getsockname(fd, reinterpret_cast<sockaddr*>(&name), &size);
   address_ = from_sockaddr(name);
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -2,9 +2,11 @@
 
 #include <csignal>
 #include <deque>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <stdexcept>
+#include <system_error>
 #include <unordered_map>
 
 #include "base/file.h"
@@ -19,6 +21,8 @@
 namespace {
 
 // ---- Bounds of the sockets: unit, reason ----
+constexpr Ms kListenWithin = 5000;            // ms, half of what a restarted assigner may take to be ready
+constexpr Ms kListenAgain = 50;               // ms between two looks whether the address is free
 constexpr Ms kConnectMost = 1000;             // ms to discovery, on the same network
 constexpr Ms kListQuiet = 4500;               // ms; a watch's empty lines come every 2 s: two are missing
 constexpr Ms kProbeWithin = 500;              // ms for an endpoint to take a connection, and again to answer
@@ -44,22 +48,40 @@
         log_("", verbose ? log::Level::debug : log::Level::info),
         core_(read_configuration(file_), reactor_.now(), base::wall_ms(), verbose),
         client_(reactor_, {.connect_ms = kConnectMost, .most_idle = 0, .limits = {.body = kMostListBytes}}) {
-    listener_ = std::make_unique<net::Listener>(
-        reactor_, core_.configuration().listen, [this](auto c) { accept(std::move(c)); },
-        net::ConnectionOptions{.most_unsent = kMostUnsent, .most_a_turn = kMostATurn});
     for (int signal : {SIGTERM, SIGINT}) reactor_.on_signal(signal, [this] { reactor_.stop(); });
     reactor_.on_signal(SIGHUP, [this] { reload(); });
-    log_.write(log::Level::info, "serving",
-               {{"name", core_.configuration().name}, {"listen", net::to_string(listener_->address())}});
+    listen(reactor_.now() + kListenWithin);
     soon();
   }
 
   void run() {
     reactor_.run();
+    if (cannot_listen_) std::rethrow_exception(cannot_listen_);
     log_.write(log::Level::info, "stopped");
   }
 
  private:
+  // The process before this one may still hold the address while it ends: that is no reason to refuse the start.
+  void listen(Ms until) {
+    try {
+      listener_ = std::make_unique<net::Listener>(
+          reactor_, core_.configuration().listen, [this](auto c) { accept(std::move(c)); },
+          net::ConnectionOptions{.most_unsent = kMostUnsent, .most_a_turn = kMostATurn});
+    } catch (const std::system_error& error) {
+      if (error.code() != std::errc::address_in_use || reactor_.now() >= until) {
+        cannot_listen_ = std::current_exception();
+        return reactor_.defer([this] { reactor_.stop(); });
+      }
+      if (!std::exchange(waits_for_address_, true))
+        log_.write(log::Level::warning, "address_in_use",
+                   {{"listen", net::to_string(core_.configuration().listen)}});
+      reactor_.at(reactor_.now() + kListenAgain, [this, until] { listen(until); });
+      return;
+    }
+    log_.write(log::Level::info, "serving",
+               {{"name", core_.configuration().name}, {"listen", net::to_string(listener_->address())}});
+  }
+
   // ---- The core's turns: once a turn of the loop, after all that came in it ----
   void soon() {
     if (std::exchange(turn_due_, true)) return;
@@ -186,13 +208,14 @@
   Core core_;
   http::Client client_;
   std::unique_ptr<net::Listener> listener_;
+  std::exception_ptr cannot_listen_;
   std::unordered_map<ConnectionId, std::shared_ptr<net::Connection>> connections_;
   std::deque<std::weak_ptr<net::Connection>> leaving_;
   std::map<ListWatch::Number, http::Client::Call> watches_;
   std::deque<AskEndpoint> due_;  // one an endpoint at most: the core asks none that it waits for
   std::size_t asked_ = 0;
   std::uint64_t last_connection_ = 0;
-  bool turn_due_ = false;
+  bool turn_due_ = false, waits_for_address_ = false;
   std::optional<net::Reactor::TimerId> timer_;
 };
 
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -111,7 +111,10 @@
   // ---- The list ----
   void on(const EndpointList& e) {
     if (e.kind == ListKind::lost) {
-      ask_at = now + std::min(set.must_ask_in / 8, set.period * std::exp2(std::min(++list_failures, 4)));
+      // Spread: all controllers lose one discovery at once, and it would fail again under all their calls.
+      double spread = std::uint32_t((set.seed + std::uint64_t(++list_failures)) * kGolden) / std::exp2(33);
+      ask_at = now + std::min(set.must_ask_in / 8, set.period * std::exp2(std::min(list_failures, 4))) *
+                         (1 - spread);
       return;
     }
     if (e.kind != ListKind::warm_copy) list_failures = 0, ask_at = now + set.must_ask_in * kAskPart;
@@ -200,6 +203,7 @@
   // Once a stream, after all else of the batch: what the proxy holds is unknown, a full bind settles it. A
   // mass rejoin would overfill the channel (rule 5), so who finds no room there waits with what it holds.
   void bind_joined() {
+    if (endpoints.empty()) return;  // started without a list: an empty table would take away what they hold
     for (; !unbound.empty() && channel.waiting(now) <= kBindPart * set.most_waiting_lines;
          unbound.pop_front()) {
       auto p = proxies.find(unbound.front());
--- a/tests/platform/service_test.cpp
+++ b/tests/platform/service_test.cpp
@@ -1,6 +1,8 @@
 // The assigner as the platform starts it: a process by the deploy file's `run`, against a small stand-in for
 // discovery, tasks, proxies and strangers on loopback. BEAMSHUNT_RUN has the command.
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <cstdlib>
@@ -21,10 +23,8 @@
 class Peer {  // a connection to the assigner and all that it was told
  public:
   Peer(net::Reactor& reactor, net::Address to) : connection(net::Connection::dial(reactor, to, {})) {
-    connection->start({{},
-                       [this](std::string_view bytes) { came += bytes; },
-                       [this] { over = true; },
-                       [this](net::CloseReason) { over = true; }});
+    connection->start({[this] { connected = true; }, [this](std::string_view bytes) { came += bytes; },
+                       [this] { over = true; }, [this](net::CloseReason) { over = true; }});
   }
   ~Peer() { connection->close(); }
   void say(const json& message) { connection->send(message.dump() + "\n"); }
@@ -46,7 +46,7 @@
   }
   std::shared_ptr<net::Connection> connection;
   std::string came;
-  bool over = false;
+  bool over = false, connected = false;
 };
 
 struct Discovery {
@@ -54,6 +54,11 @@
       : server(reactor, {kLoopback, 0},
                [this](http::Message&& request, http::Responder responder) {
                  asked.push_back(request.target);
+                 if (refusals > 0) {
+                   --refusals;
+                   return responder.send(http::response(503, list(9, true, {}).dump() + "\n"));
+                 }
+                 if (holds) return watches.push_back(responder);
                  responder.begin_stream(200, "application/json");
                  responder.stream(four().dump() + "\n");
                  watches.push_back(responder);
@@ -62,6 +67,8 @@
   void tell(const json& object) {
     for (auto& w : watches) w.stream(object.dump() + "\n");
   }
+  int refusals = 0;    // calls that are answered 503, with a body that looks like a list
+  bool holds = false;  // calls wait for an answer
   std::vector<std::string> asked;
   std::vector<http::Responder> watches;
   http::Server server;
@@ -81,22 +88,23 @@
     configured["discovery"] = net::to_string(discovery.server.address());
   }
   void write_configuration(const std::string& bytes) { base::replace_file(folder_ + ".json", bytes); }
-  void start() {
+  void start(const std::string& log = {}) {
     write_configuration(configured.dump());
     ::setenv("BALANCER_CONFIG", (folder_ + ".json").c_str(), 1);
-    child = std::make_unique<process::Child>(
-        "/bin/sh", std::vector<std::string>{"-c", "ulimit -n 256; " + run_}, folder_ + ".log");
+    child =
+        std::make_unique<process::Child>("/bin/sh", std::vector<std::string>{"-c", "ulimit -n 256; " + run_},
+                                         log.empty() ? folder_ + ".log" : log);
   }
   void start_and_wait() {
     start();
-    std::unique_ptr<Peer> peer;
-    until("alive", [&] {
-      if (!peer || peer->over) {
-        peer = std::make_unique<Peer>(reactor, listen);
-        peer->say({{"t", "probe"}});
-      }
-      return !peer->told("alive").empty();
-    });
+    until("alive", [&] { return alive(); });
+  }
+  bool alive() {
+    if (!asks_ || asks_->over) {
+      asks_ = std::make_unique<Peer>(reactor, listen);
+      asks_->say({{"t", "probe"}});
+    }
+    return !asks_->told("alive").empty();
   }
   void until(const char* what, const std::function<bool()>& done, Ms most = 10000) {
     bool expired = false;
@@ -122,6 +130,7 @@
   json configured;
   std::unique_ptr<process::Child> child;
   std::string run_, folder_;
+  std::unique_ptr<Peer> asks_;
 };
 
 TEST_F(PlatformProcess, TablesAndDrainsReachAProxyAndSigtermEndsItInOrder) {
@@ -184,6 +193,110 @@
   EXPECT_EQ(child->stop(5000), 0);
 }
 
+// ---- Where two events cross, each forced by a barrier ----
+
+TEST_F(PlatformProcess, AWatchThatIsRefusedAfterAMoveLeavesTheFormerOneAtWork) {
+  Discovery other(reactor);
+  other.refusals = 2;
+  start_and_wait();
+  auto proxy = join(0);
+  until("a table", [&] { return proxy->holds("s-a"); });
+  configured["discovery"] = net::to_string(other.server.address());
+  write_configuration(configured.dump());
+  child->signal(SIGHUP);
+  until("a refusal", [&] { return other.refusals == 1; });
+  discovery.tell(list(6, false, {target("s-a", "north", "terminating")}));
+  until("the drain by the former watch", [&] { return !proxy->holds("s-a"); });
+  EXPECT_TRUE(proxy->holds("s-b")) << "the body of a refusal is no list";
+  until("the new address asked again while the former one lives", [&] { return !other.watches.empty(); });
+  EXPECT_NE(other.asked.back().find("from=6"), std::string::npos);
+}
+
+TEST_F(PlatformProcess, AnAddressThatTheProcessBeforeStillHoldsIsWaitedFor) {
+  auto former = std::make_unique<net::Listener>(reactor, listen, [](auto) {});
+  start();
+  until("that it waits", [&] {
+    return base::read_file(folder_ + ".log").value_or("").find("address_in_use") != std::string::npos;
+  });
+  EXPECT_FALSE(child->ended());
+  former.reset();
+  until("alive", [&] { return alive(); });
+}
+
+TEST_F(PlatformProcess, NothingWaitsOnALogThatNobodyReads) {
+  std::string pipe = folder_ + ".pipe";
+  ::unlink(pipe.c_str());
+  ASSERT_EQ(::mkfifo(pipe.c_str(), 0600), 0);
+  net::Fd reader(::open(pipe.c_str(), O_RDONLY | O_NONBLOCK));
+  net::Fd writer(::open(pipe.c_str(), O_WRONLY | O_NONBLOCK));
+  while (::write(writer.get(), "x", 1) == 1) {
+  }
+  start(pipe);
+  until("alive", [&] { return alive(); });
+  auto proxy = join(0);
+  until("a table", [&] { return proxy->holds("s-a"); });
+  child->signal(SIGTERM);
+  until(
+      "an end before SIGKILL may follow", [&] { return child->ended(); }, 700);
+  EXPECT_EQ(child->stop(0), 0);
+}
+
+TEST_F(PlatformProcess, SigtermEndsItInOrderWhateverIsHalfDone) {
+  for (int k = 0; k < 3; ++k) {
+    discovery.holds = k == 0;
+    discovery.watches.clear(), discovery.asked.clear();
+    start();
+    until("its watch", [&] { return !discovery.watches.empty(); });
+    std::unique_ptr<Peer> proxy;
+    if (k == 1) discovery.watches.back().stream(list(6, true, {}).dump().substr(0, 20));  // a list in half
+    if (k == 2) {
+      until("alive", [&] { return alive(); });
+      proxy = join(0);
+      proxy->connection->pause(true);  // a message that is not read
+      discovery.tell(list(6, false, {target("s-a", "north", "terminating")}));
+    }
+    child->signal(SIGTERM);
+    until(
+        "an end", [&] { return child->ended(); }, 700);
+    EXPECT_EQ(child->stop(0), 0) << k;
+  }
+}
+
+TEST_F(PlatformProcess, AJoiningAmongHundredsOfStrangersInOneTurnIsRead) {
+  start_and_wait();
+  child->signal(SIGSTOP);
+  std::vector<std::unique_ptr<Peer>> strangers;
+  auto first = join(0);  // the oldest of all, and its joining waits in the kernel
+  auto gone = join(1);
+  until("that they are there", [&] { return first->connected && gone->connected; });
+  gone->connection->reset();  // between its connect and the first read
+  for (int k = 0; k < 600; ++k) strangers.push_back(std::make_unique<Peer>(reactor, listen));
+  until("that all wait", [&] {
+    return std::all_of(strangers.begin(), strangers.end(), [](auto& s) { return s->connected; });
+  });
+  child->signal(SIGCONT);
+  until("a table", [&] { return first->holds("s-a"); });
+  EXPECT_FALSE(first->over);
+  auto again = join(1);
+  until("a table for who was reset", [&] { return again->holds("s-a"); });
+}
+
+TEST_F(PlatformProcess, OtherSettingsAndADrainInOneTurn) {
+  start_and_wait();
+  auto proxy = join(0);
+  until("a table", [&] { return proxy->holds("s-a"); });
+  child->signal(SIGSTOP);
+  discovery.tell(list(6, false, {target("s-a", "north", "terminating")}));
+  configured["settings"]["guarantees"]["warm_up"] = 9000.0;
+  write_configuration(configured.dump());
+  child->signal(SIGHUP);
+  child->signal(SIGHUP);
+  child->signal(SIGCONT);
+  until("the drain", [&] { return !proxy->holds("s-a"); });
+  EXPECT_TRUE(proxy->holds("s-b"));
+  EXPECT_FALSE(proxy->over);
+}
+
 TEST_F(PlatformProcess, WithoutASoundConfigurationItSaysWhyAndEnds) {
   configured["settings"]["family_info"].erase("agents");
   start();
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -77,6 +77,26 @@
   EXPECT_EQ(asked, 1);
 }
 
+TEST(List, ControllersThatLoseOneDiscoveryTogetherDoNotAskItTogether) {
+  std::set<double> asked;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Settings s = two_zone_settings();
+    s.seed = seed * 1000003;
+    Fleet f(s);
+    f.start(kFour);
+    f.send({EndpointList{ListKind::lost, {}}});
+    Time lost = f.now;
+    while (Fleet::only<WatchList>(f.last).empty()) {
+      f.now += Duration(10);
+      f.send({});
+      ASSERT_LE((f.now - lost).count(), 1250) << "an eighth of must_ask_in";
+    }
+    EXPECT_GE((f.now - lost).count(), 490) << "half a period's backoff";
+    asked.insert((f.now - lost).count());
+  }
+  EXPECT_GE(asked.size(), 4u);
+}
+
 TEST(List, NeverSitsPastMustAskInUnheard) {
   Fleet f(two_zone_settings());
   f.start(kFour);
@@ -186,6 +206,17 @@
   EXPECT_TRUE(Fleet::only<Bind>(f.last).empty());
 }
 
+TEST(Binding, WithoutAnyListYetAProxyKeepsWhatItHolds) {
+  Fleet f(two_zone_settings());
+  f.start({});
+  f.join(1, 0, 20);
+  f.run(3, [](const ListedEndpoint&) { return vector<EndpointHeard>{}; });
+  EXPECT_TRUE(f.bound.empty()) << "an empty table would leave it without a server";
+  f.listed = kFour;
+  f.send({EndpointList{ListKind::total, kFour}});
+  EXPECT_EQ(f.lines(1, 0).size(), 4u);
+}
+
 TEST(Binding, LocalEndpointsComeFirst) {
   Fleet f = running();
   EXPECT_GT(f.line(1, 0, 11), 0);
