Platform: health check, endpoint and demand reports, nonces and acks by their usual names

No change of behaviour: SignOfLife, TriesHeard, UsageHeard, MarkApplied and marks are HealthCheck, EndpointReport, DemandReport, Ack and nonces.

--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t kReserved = 32;  // descriptors for all else but probes: loop, discovery, files
 // probes at a time: those of endpoints that hang must leave some for the others; more would only be a burst
 constexpr std::size_t kProbesLeast = 16, kProbesMost = 64;
-constexpr Ms kMarkSlack = 1000;            // ms that an answer may take beyond the channel's longest
+constexpr Ms kAckSlack = 1000;             // ms that an ack may take beyond the channel's longest
 constexpr Ms kSilentMost = 20000;          // ms without an answer, where no other proxy's tells
 constexpr Ms kViewEach = 1000;             // ms between two accounts of all endpoints
 constexpr Ms kPassedKept = 60000;          // ms
@@ -151,7 +151,7 @@
 
 // ---- Messages ----
 
-void Core::take(Connections::iterator c, const SignOfLife&, Ms) { send(c->first, alive_line()); }
+void Core::take(Connections::iterator c, const HealthCheck&, Ms) { send(c->first, alive_line()); }
 
 void Core::take(Connections::iterator c, const CollectorJoins& m, Ms) {
   if (c->second.is != Connection::Is::opening)
@@ -192,45 +192,46 @@
   pending_.push_back(ProxyJoined{m.proxy, m.locality, m.usual_rate, m.only_standing});
 }
 
-void Core::take(Connections::iterator c, const MarkApplied& m, Ms now) {
+void Core::take(Connections::iterator c, const Ack& m, Ms now) {
   Connection& connection = c->second;
   if (connection.is != Connection::Is::proxy || connection.joined.proxy != m.proxy)
-    throw Unusable(Unusable::Scope::message, "an answer to a mark that is not of this stream's proxy");
-  auto hit = std::find_if(connection.marks.begin(), connection.marks.end(),
-                          [&](const Mark& mark) { return mark.stamp == m.mark; });
-  if (hit == connection.marks.end()) {
+    throw Unusable(Unusable::Scope::message, "an ack that is not of this stream's proxy");
+  auto hit = std::find_if(connection.unacked.begin(), connection.unacked.end(),
+                          [&](const Nonce& nonce) { return nonce.value == m.nonce; });
+  if (hit == connection.unacked.end()) {
     // It crossed the end of its wait, or of its module: none of the stream's doing, and nothing spoilt.
-    if (std::find(connection.settled.begin(), connection.settled.end(), m.mark) != connection.settled.end()) {
+    if (std::find(connection.settled.begin(), connection.settled.end(), m.nonce) !=
+        connection.settled.end()) {
       ++counters_.late;
       return;
     }
-    throw Unusable(Unusable::Scope::message, "an answer to a mark that does not wait for one");
+    throw Unusable(Unusable::Scope::message, "an ack of a nonce that does not wait for one");
   }
   if (passed_.empty() || hit->order > passed_.back().first) passed_.emplace_back(hit->order, now);
-  confirm(connection, static_cast<std::size_t>(hit - connection.marks.begin()) + 1, now);
+  acknowledge(connection, static_cast<std::size_t>(hit - connection.unacked.begin()) + 1, now);
 }
 
-void Core::confirm(Connection& c, std::size_t marks, Ms now) {
-  for (; marks > 0; --marks, c.marks.pop_front()) {
-    const Mark& mark = c.marks.front();
-    c.settled.push_back(mark.stamp);
+void Core::acknowledge(Connection& c, std::size_t nonces, Ms now) {
+  for (; nonces > 0; --nonces, c.unacked.pop_front()) {
+    const Nonce& nonce = c.unacked.front();
+    c.settled.push_back(nonce.value);
     if (c.settled.size() > kMostSettled) c.settled.pop_front();
-    if (mark.module == module_)
-      pending_.push_back(OrderApplied{c.joined.proxy, Duration(now - mark.sent), mark.serial});
-    else pending_.push_back(ChannelShared{former_lines_ -= mark.lines, {}});
+    if (nonce.module == module_)
+      pending_.push_back(OrderApplied{c.joined.proxy, Duration(now - nonce.sent), nonce.serial});
+    else pending_.push_back(ChannelShared{former_lines_ -= nonce.lines, {}});
   }
 }
 
 // Nothing more is confirmed of this stream: what it holds of former modules' lines leaves their account.
 void Core::settle(Connection& c) {
   double before = former_lines_;
-  for (const Mark& mark : c.marks)
-    if (mark.module != module_) former_lines_ -= mark.lines;
-  c.marks.clear();
+  for (const Nonce& nonce : c.unacked)
+    if (nonce.module != module_) former_lines_ -= nonce.lines;
+  c.unacked.clear();
   if (former_lines_ != before) pending_.push_back(ChannelShared{former_lines_, {}});
 }
 
-void Core::take(Connections::iterator c, const TriesHeard& m, Ms) {
+void Core::take(Connections::iterator c, const EndpointReport& m, Ms) {
   if (c->second.is == Connection::Is::opening)
     throw Unusable(Unusable::Scope::connection, "a report before a joining");
   auto endpoint = directory_.find(m.uid);
@@ -244,7 +245,7 @@
       EndpointHeard{m.from, *endpoint, m.tries, m.failed, Duration(m.latency), Duration(m.span), m.load});
 }
 
-void Core::take(Connections::iterator c, const UsageHeard& m, Ms) {
+void Core::take(Connections::iterator c, const DemandReport& m, Ms) {
   if (c->second.is == Connection::Is::opening)
     throw Unusable(Unusable::Scope::connection, "a report before a joining");
   if (c->second.is == Connection::Is::proxy && c->second.joined.proxy != m.proxy)
@@ -375,7 +376,7 @@
   former_lines_ = 0;
   for (auto& [proxy, id] : streams_) {
     Connection& connection = connections_.at(id);
-    for (const Mark& mark : connection.marks) former_lines_ += mark.lines;
+    for (const Nonce& nonce : connection.unacked) former_lines_ += nonce.lines;
     shared.messages[proxy] = static_cast<int>(messages_within(connection, now));
     connection.joined.only_standing = false;
     join(connection.joined);
@@ -391,11 +392,11 @@
 }
 
 void Core::act(const std::vector<Action>& actions, Ms now) {
-  std::optional<std::uint32_t> mark;
+  std::optional<std::uint32_t> serial;
   auto write_to = [this](ProxyId proxy, const orders::Order& order) { write(proxy, order); };
   struct Doing {
     Core& core;
-    std::optional<std::uint32_t>& mark;
+    std::optional<std::uint32_t>& serial;
     const orders::Tables::Write write;
     void operator()(const WatchList& x) {
       if (!x.on) core.reopen_ = false, core.close_watches(core.watch_.close_all());
@@ -422,7 +423,7 @@
     void operator()(const Withdraw& x) { core.tables_->apply(x, write); }
     void operator()(const Admit& x) { core.tables_->apply(x, write); }
     void operator()(const Barrier& x) {
-      mark = x.serial;
+      serial = x.serial;
       if (x.everyone)
         for (auto& [proxy, stream] : core.streams_) core.open_[proxy];
     }
@@ -431,9 +432,9 @@
       core.log(log::Level::error, "module_fault", {{"text", x.text}});
     }
   };
-  Doing doing{*this, mark, write_to};
+  Doing doing{*this, serial, write_to};
   for (const Action& action : actions) std::visit(doing, action);
-  send_messages(mark, now);
+  send_messages(serial, now);
 }
 
 // A part that may take one more order for `classes`: not past a later part that such an order would overtake.
@@ -492,22 +493,22 @@
   std::visit(Writing{*this, proxy, open_[proxy]}, order);
 }
 
-void Core::send_messages(std::optional<std::uint32_t> mark, Ms now) {
-  std::optional<std::uint32_t> stamp;
-  if (mark && !open_.empty()) stamp = ++last_stamp_;
+void Core::send_messages(std::optional<std::uint32_t> serial, Ms now) {
+  std::optional<std::uint32_t> nonce;
+  if (serial && !open_.empty()) nonce = ++last_nonce_;
   for (auto& [proxy, parts] : open_) {
     auto stream = streams_.find(proxy);
     if (stream == streams_.end()) continue;
     ++counters_.messages;
-    double lines = count_lines(parts, mark.has_value());
+    double lines = count_lines(parts, nonce.has_value());
     counters_.lines += static_cast<std::uint64_t>(lines);
     Connection& connection = connections_.at(stream->second);
     messages_within(connection, now);  // forgets the older ones
     connection.messages.push_back(now);
-    if (mark)
-      connection.marks.push_back(
-          {*stamp, *mark, ++last_order_, now, module_, lines + configuration_.settings.envelope_lines});
-    send(stream->second, push_lines(std::move(parts), stamp, configuration_.names));
+    if (nonce)
+      connection.unacked.push_back(
+          {*nonce, *serial, ++last_order_, now, module_, lines + configuration_.settings.envelope_lines});
+    send(stream->second, push_lines(std::move(parts), nonce, configuration_.names));
   }
   open_.clear();
 }
@@ -516,11 +517,11 @@
 
 // The channel is one queue: once a later message has been answered, an earlier one has left it too, and what
 // travels takes late_most at the longest. However slow the channel is on a day, the comparison holds.
-bool Core::mark_overdue(const Mark& mark, Ms now) const {
-  auto passed = std::upper_bound(passed_.begin(), passed_.end(), mark.order,
+bool Core::overdue(const Nonce& nonce, Ms now) const {
+  auto passed = std::upper_bound(passed_.begin(), passed_.end(), nonce.order,
                                  [](std::uint64_t order, auto& p) { return order < p.first; });
-  if (passed == passed_.end()) return now > mark.sent + kSilentMost;
-  return now > passed->second + configuration_.settings.push_delay_most.count() + kMarkSlack;
+  if (passed == passed_.end()) return now > nonce.sent + kSilentMost;
+  return now > passed->second + configuration_.settings.push_delay_most.count() + kAckSlack;
 }
 
 void Core::upkeep(Ms now) {
@@ -540,11 +541,11 @@
       refuse(c, "a message does not end");
       continue;
     }
-    while (!connection.marks.empty() && mark_overdue(connection.marks.front(), now)) {
-      ++counters_.unanswered_marks;
+    while (!connection.unacked.empty() && overdue(connection.unacked.front(), now)) {
+      ++counters_.unacked_nonces;
       // The message is through: its lines must leave the module's account, or they would hold up everybody.
-      if (connection.heard > connection.marks.front().sent) {
-        confirm(connection, 1, now);
+      if (connection.heard > connection.unacked.front().sent) {
+        acknowledge(connection, 1, now);
         continue;
       }
       ++counters_.silent;
--- a/src/platform/core.h
+++ b/src/platform/core.h
@@ -62,7 +62,7 @@
 
 struct Counters {
   std::uint64_t messages = 0, lines = 0, reports = 0, spoilt = 0, refused = 0, evicted = 0, silent = 0,
-                unanswered_marks = 0, late = 0;
+                unacked_nonces = 0, late = 0;
 };
 
 class Core {
@@ -99,8 +99,8 @@
   std::size_t proxies() const { return streams_.size(); }
 
  private:
-  struct Mark {
-    std::uint32_t stamp = 0;  // on the wire; a module that takes over counts its serials anew
+  struct Nonce {
+    std::uint32_t value = 0;  // on the wire; a module that takes over counts its serials anew
     std::uint32_t serial = 0;
     std::uint64_t order = 0;  // among all messages of this channel
     Ms sent = 0;
@@ -114,26 +114,26 @@
     Ms opened = 0, heard = 0, unfinished_since = 0;
     ProxyJoins joined;  // of a proxy
     int unusable = 0;   // messages in a row
-    std::deque<Mark> marks;
-    std::deque<std::uint32_t> settled;  // stamps of former marks: an answer to one is late, and sound
+    std::deque<Nonce> unacked;
+    std::deque<std::uint32_t> settled;  // nonces that wait no more: an ack of one is late, and sound
     std::deque<Ms> messages;            // times at which it was written to, within the span that is limited
   };
   using Connections = std::map<ConnectionId, Connection>;
   using Parts = std::vector<Part>;
 
   void take_line(Connections::iterator c, std::string_view line, Ms now);
-  void take(Connections::iterator c, const SignOfLife& m, Ms now);
+  void take(Connections::iterator c, const HealthCheck& m, Ms now);
   void take(Connections::iterator c, const CollectorJoins& m, Ms now);
   void take(Connections::iterator c, const ProxyJoins& m, Ms now);
-  void take(Connections::iterator c, const MarkApplied& m, Ms now);
-  void take(Connections::iterator c, const TriesHeard& m, Ms now);
-  void take(Connections::iterator c, const UsageHeard& m, Ms now);
+  void take(Connections::iterator c, const Ack& m, Ms now);
+  void take(Connections::iterator c, const EndpointReport& m, Ms now);
+  void take(Connections::iterator c, const DemandReport& m, Ms now);
   void send(ConnectionId to, std::string bytes);
   void refuse(Connections::iterator c, const std::string& reason);
   void end(Connections::iterator c, const std::string& reason);
   void upkeep(Ms now);
-  bool mark_overdue(const Mark& mark, Ms now) const;
-  void confirm(Connection& c, std::size_t marks, Ms now);
+  bool overdue(const Nonce& nonce, Ms now) const;
+  void acknowledge(Connection& c, std::size_t nonces, Ms now);
   void settle(Connection& c);
   std::size_t messages_within(Connection& c, Ms now) const;
 
@@ -142,7 +142,7 @@
   void act(const std::vector<Action>& actions, Ms now);
   void write(ProxyId proxy, const orders::Order& order);
   void write_levels(ProxyId proxy, TableId table, ClassMask classes);
-  void send_messages(std::optional<std::uint32_t> mark, Ms now);
+  void send_messages(std::optional<std::uint32_t> serial, Ms now);
   bool list_object(std::string_view json, Ms now, double wall_now);
   void list_lost(const std::string& reason);
   void open_watch();
@@ -163,8 +163,8 @@
   std::deque<ConnectionId> opening_;  // in the order they came; some of them joined or gone
   std::map<ProxyId, Parts> open_;     // this turn's messages
   std::uint64_t last_order_ = 0;
-  std::uint16_t last_stamp_ = 0;                     // the wire's marks have so many bits
-  std::deque<std::pair<std::uint64_t, Ms>> passed_;  // answered marks' orders, growing, and when it was so
+  std::uint16_t last_nonce_ = 0;                     // as the module's serials, which have so many bits
+  std::deque<std::pair<std::uint64_t, Ms>> passed_;  // acknowledged nonces' orders, growing, and when
   std::uint64_t module_ = 0, last_probe_ = 0;
   std::map<EndpointId, std::uint64_t> probing_;  // those that the present module waits for, and their numbers
   double former_lines_ = 0;                      // of former modules' messages that are not confirmed
--- a/src/platform/message.cpp
+++ b/src/platform/message.cpp
@@ -98,8 +98,8 @@
 }
 bool sound_load(double value) { return std::isfinite(value) && value >= 0 && value <= kMostLoadFigure; }
 
-TriesHeard tries_heard(const Object& o, const settings::Names& names) {
-  TriesHeard m;
+EndpointReport endpoint_report(const Object& o, const settings::Names& names) {
+  EndpointReport m;
   m.from = locality(o, names);
   m.uid = o.text("endpoint");
   m.tries = o.whole("total", kMostTries);
@@ -119,8 +119,8 @@
   return m;
 }
 
-UsageHeard usage_heard(const Object& o, const settings::Names& names, int proxies) {
-  UsageHeard m;
+DemandReport demand_report(const Object& o, const settings::Names& names, int proxies) {
+  DemandReport m;
   m.proxy = proxy(o, proxies);
   m.request_class = request_class(o, names);
   m.came = o.whole("total", kMostTries);
@@ -159,7 +159,7 @@
   if (!object.is_object()) unreadable("a message is no JSON object");
   Object o(object);
   std::string kind = o.text("t");
-  if (kind == "probe") return SignOfLife{};
+  if (kind == "probe") return HealthCheck{};
   if (kind == "agent") return CollectorJoins{locality(o, names)};
   if (kind == "hello") {
     ProxyJoins m;
@@ -170,14 +170,14 @@
     return m;
   }
   if (kind == "ack") {
-    MarkApplied m;
+    Ack m;
     m.proxy = proxy(o, proxies);
-    m.mark = static_cast<std::uint32_t>(o.whole("nonce", std::numeric_limits<std::uint32_t>::max()));
-    m.took = o.number("latency", kMostSpan);
+    m.nonce = static_cast<std::uint32_t>(o.whole("nonce", std::numeric_limits<std::uint32_t>::max()));
+    m.latency = o.number("latency", kMostSpan);
     return m;
   }
-  if (kind == "outcomes") return tries_heard(o, names);
-  if (kind == "demand") return usage_heard(o, names, proxies);
+  if (kind == "outcomes") return endpoint_report(o, names);
+  if (kind == "demand") return demand_report(o, names, proxies);
   spoilt("kind " + kind + " is not one that an assigner takes");
 }
 
@@ -206,9 +206,9 @@
   return json{{"t", "error"}, {"reason", reason}}.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
-std::string push_lines(std::vector<Part> parts, std::optional<std::uint32_t> mark,
+std::string push_lines(std::vector<Part> parts, std::optional<std::uint32_t> nonce,
                        const settings::Names& names) {
-  if (parts.empty()) parts.emplace_back();  // a mark alone
+  if (parts.empty()) parts.emplace_back();  // a nonce alone
   std::string out;
   for (std::size_t k = 0; k < parts.size(); ++k) {
     const Part& part = parts[k];
@@ -224,14 +224,14 @@
     if (!part.drop.empty()) line["drop"] = part.drop;
     if (!part.undrop.empty()) line["undrop"] = part.undrop;
     if (k + 1 < parts.size()) line["part"] = true;
-    else if (mark) line["stamp"] = *mark;
+    else if (nonce) line["stamp"] = *nonce;
     out += line.dump() + "\n";
   }
   return out;
 }
 
-double count_lines(const std::vector<Part>& parts, bool marked) {
-  std::size_t lines = marked;
+double count_lines(const std::vector<Part>& parts, bool has_nonce) {
+  std::size_t lines = has_nonce;
   for (const Part& p : parts)
     lines += p.replace + p.rows.size() + p.level.has_value() + p.drop.size() + p.undrop.size();
   return static_cast<double>(lines);
--- a/src/platform/message.h
+++ b/src/platform/message.h
@@ -40,7 +40,7 @@
   std::string held_;
 };
 
-struct SignOfLife {};
+struct HealthCheck {};
 struct CollectorJoins {
   Locality locality{};
 };
@@ -50,25 +50,25 @@
   double usual_rate = 0;
   bool only_standing = false;
 };
-struct MarkApplied {
+struct Ack {
   ProxyId proxy{};
-  std::uint32_t mark = 0;
-  Ms took = 0;
+  std::uint32_t nonce = 0;
+  Ms latency = 0;
 };
-struct TriesHeard {
+struct EndpointReport {
   Locality from{};
   std::string uid;
   double tries = 0, failed = 0;
   Ms latency = 0, span = 0;
   LoadReport load;
 };
-struct UsageHeard {
+struct DemandReport {
   ProxyId proxy{};
   ClassId request_class{};
   double came = 0, unanswered = 0;
   Ms span = 0;
 };
-using Message = std::variant<SignOfLife, CollectorJoins, ProxyJoins, MarkApplied, TriesHeard, UsageHeard>;
+using Message = std::variant<HealthCheck, CollectorJoins, ProxyJoins, Ack, EndpointReport, DemandReport>;
 
 // Throws Unusable: `connection` where the line is no JSON object, `message` where the object is no message.
 Message parse_message(std::string_view line, const settings::Names& names, int proxies);
@@ -90,10 +90,10 @@
 };
 constexpr std::size_t kMostParts = 64;  // of one message, by the protocol
 
-// The lines of one message, its mark, if any, in the last part.
-std::string push_lines(std::vector<Part> parts, std::optional<std::uint32_t> mark,
+// The lines of one message, its nonce to be acknowledged, if any, in the last part.
+std::string push_lines(std::vector<Part> parts, std::optional<std::uint32_t> nonce,
                        const settings::Names& names);
 // What the message counts in the channel, without its head.
-double count_lines(const std::vector<Part>& parts, bool marked);
+double count_lines(const std::vector<Part>& parts, bool has_nonce);
 
 }  // namespace beamshunt::platform
--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -87,7 +87,7 @@
   peer(R"({"t":"hello","no)", "nobody has joined in time");
   peer(R"({"t":"probe"})"
        "\n",
-       "nobody has joined in time");  // a sign of life is no joining
+       "nobody has joined in time");  // a health check is no joining
   rig.live(1300, {good});
   for (auto& [id, reason] : bad) {
     EXPECT_NE(rig.error(id).find(reason), std::string::npos) << rig.error(id) << " for " << reason;
@@ -97,7 +97,7 @@
   EXPECT_EQ(rig.core.connections(), 1u);
 }
 
-TEST(PlatformCore, ASignOfLifeIsAnsweredOnAnyConnection) {
+TEST(PlatformCore, AHealthCheckIsAnsweredOnAnyConnection) {
   Rig rig;
   for (ConnectionId id : {rig.open(), rig.collector(), rig.join(0)}) {
     rig.say(id, {{"t", "probe"}});
@@ -301,7 +301,7 @@
   rig.turn();
   auto newer = rig.newest_watch();
   ASSERT_NE(former, newer);
-  rig.core.watch_bytes(newer, "\n", rig.now, rig.now);           // a sign of life is no list
+  rig.core.watch_bytes(newer, "\n", rig.now, rig.now);           // an empty line is no list
   rig.core.watch_bytes(newer, "no object\n", rig.now, rig.now);  // nor is this
   rig.tell(former, list(6, false, {target("s-a", "north", "terminating")}));
   rig.turn();
@@ -407,7 +407,7 @@
   rig.live(3000, {other});
   hold_back();
   ASSERT_GE(acks.size(), 5u);
-  ASSERT_GT(rig.core.counters().unanswered_marks, 4u);
+  ASSERT_GT(rig.core.counters().unacked_nonces, 4u);
   for (const json& ack : acks) rig.say(p, ack);  // all at once, after their wait was over
   rig.live(300, {other});
   EXPECT_FALSE(rig.is_closed(p)) << "a stream that this side ends does not count as left";
--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -30,19 +30,18 @@
   EXPECT_EQ(hello.locality, Locality{1});
   EXPECT_EQ(hello.usual_rate, 21.5);
   EXPECT_TRUE(hello.only_standing);
-  auto heard = std::get<TriesHeard>(
+  auto heard = std::get<EndpointReport>(
       parse_message(R"({"t":"outcomes","locality":"north","endpoint":"s-a","total":9,"errors":2,"rtt":41.7,)"
                     R"("interval":1000,"metrics":{"inflight":7,"util":0.61,"odd":1}})",
                     kNames, 40));
   EXPECT_EQ(heard.uid, "s-a");
   EXPECT_EQ(heard.tries, 9);
   EXPECT_EQ(heard.load, (LoadReport{{"outstanding", 7}, {"utilization", 0.61}}));
-  auto used = std::get<UsageHeard>(parse_message(
+  auto used = std::get<DemandReport>(parse_message(
       R"({"t":"demand","node":3,"route":"buy","total":4,"errors":0,"interval":500.5})", kNames, 40));
   EXPECT_EQ(used.request_class, ClassId{1});
-  auto mark =
-      std::get<MarkApplied>(parse_message(R"({"t":"ack","node":3,"nonce":905,"latency":310.4})", kNames, 40));
-  EXPECT_EQ(mark.mark, 905u);
+  auto mark = std::get<Ack>(parse_message(R"({"t":"ack","node":3,"nonce":905,"latency":310.4})", kNames, 40));
+  EXPECT_EQ(ack.nonce, 905u);
   // Tries that all failed have no mean time.
   EXPECT_FALSE(refusal(
       R"({"t":"outcomes","locality":"north","endpoint":"s-a","total":2,"errors":2,"interval":1000})"));
