A stream that falls silent while nothing is written to it is found by a nonce alone

After 10 s without a byte it is asked with an empty message; the module is told what that takes of the channel. Test: AStreamThatFallsSilentAfterLongHealthIsFoundThoughNothingIsWrittenToIt.

--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -23,9 +23,11 @@
 constexpr std::size_t kReserved = 32;  // descriptors for all else but probes: loop, discovery, files
 // probes at a time: those of endpoints that hang must leave some for the others; more would only be a burst
 constexpr std::size_t kProbesLeast = 16, kProbesMost = 64;
-constexpr Ms kAckSlack = 1000;             // ms that an ack may take beyond the channel's longest
-constexpr Ms kSilentMost = 20000;          // ms without an answer, where no other proxy's tells
-constexpr Ms kViewEach = 1000;             // ms between two accounts of all endpoints
+constexpr Ms kAckSlack = 1000;     // ms that an ack may take beyond the channel's longest
+constexpr Ms kSilentMost = 20000;  // ms without an answer, where no other proxy's tells
+constexpr Ms kQuiet = 10000;       // ms without a byte: a proxy that serves has reported its demand since
+constexpr Ms kCheckEach = 50;   // ms between two health checks of streams: after a cut all are quiet at once
+constexpr Ms kViewEach = 1000;  // ms between two accounts of all endpoints
 constexpr Ms kPassedKept = 60000;          // ms
 constexpr std::size_t kMostSettled = 256;  // stamps kept of a stream: more are never on their way
 
@@ -218,17 +220,17 @@
     if (c.settled.size() > kMostSettled) c.settled.pop_front();
     if (nonce.module == module_)
       pending_.push_back(OrderApplied{c.joined.proxy, Duration(now - nonce.sent), nonce.serial});
-    else pending_.push_back(ChannelShared{former_lines_ -= nonce.lines, {}});
+    else pending_.push_back(ChannelShared{other_lines_ -= nonce.lines, {}});
   }
 }
 
 // Nothing more is confirmed of this stream: what it holds of former modules' lines leaves their account.
 void Core::settle(Connection& c) {
-  double before = former_lines_;
+  double before = other_lines_;
   for (const Nonce& nonce : c.unacked)
-    if (nonce.module != module_) former_lines_ -= nonce.lines;
+    if (nonce.module != module_) other_lines_ -= nonce.lines;
   c.unacked.clear();
-  if (former_lines_ != before) pending_.push_back(ChannelShared{former_lines_, {}});
+  if (other_lines_ != before) pending_.push_back(ChannelShared{other_lines_, {}});
 }
 
 void Core::take(Connections::iterator c, const EndpointReport& m, Ms) {
@@ -373,15 +375,15 @@
   // Rule 5 is kept by both modules together: the fresh one is told what the former ones' messages still hold of the
   // channel, and how many of the last ones each proxy was sent.
   ChannelShared shared;
-  former_lines_ = 0;
+  other_lines_ = 0;
   for (auto& [proxy, id] : streams_) {
     Connection& connection = connections_.at(id);
-    for (const Nonce& nonce : connection.unacked) former_lines_ += nonce.lines;
+    for (const Nonce& nonce : connection.unacked) other_lines_ += nonce.lines;
     shared.messages[proxy] = static_cast<int>(messages_within(connection, now));
     connection.joined.only_standing = false;
     join(connection.joined);
   }
-  shared.lines = former_lines_;
+  shared.lines = other_lines_;
   pending_.push_back(std::move(shared));
 }
 
@@ -541,6 +543,7 @@
       refuse(c, "a message does not end");
       continue;
     }
+    check_quiet(c->first, connection, now);
     while (!connection.unacked.empty() && overdue(connection.unacked.front(), now)) {
       ++counters_.unacked_nonces;
       // The message is through: its lines must leave the module's account, or they would hold up everybody.
@@ -556,6 +559,23 @@
   }
 }
 
+// A stream that falls silent while nothing is written to it would stand for its proxy for good, and its demand with
+// it. A nonce alone asks whether it lives. It is no message of the module's, which is told what it takes (rule 5).
+void Core::check_quiet(ConnectionId id, Connection& c, Ms now) {
+  const Settings& set = configuration_.settings;
+  if (c.is != Connection::Is::proxy || !c.unacked.empty() || now < c.heard + kQuiet || now < next_check_)
+    return;
+  if (set.pushes_allowed > 0 && 2 * messages_within(c, now) >= static_cast<std::size_t>(set.pushes_allowed))
+    return;
+  next_check_ = now + kCheckEach;
+  ++counters_.checks;
+  c.unacked.push_back({++last_nonce_, 0, ++last_order_, now, 0, set.envelope_lines + 1});
+  c.messages.push_back(now);
+  other_lines_ += set.envelope_lines + 1;
+  pending_.push_back(ChannelShared{other_lines_, {{c.joined.proxy, 1}}});
+  send(id, push_lines({}, last_nonce_, configuration_.names));
+}
+
 void Core::note_view(Ms now) {
   next_view_ = now + kViewEach;
   log::Fields seen;
--- a/src/platform/core.h
+++ b/src/platform/core.h
@@ -62,7 +62,7 @@
 
 struct Counters {
   std::uint64_t messages = 0, lines = 0, reports = 0, spoilt = 0, refused = 0, evicted = 0, silent = 0,
-                unacked_nonces = 0, late = 0;
+                unacked_nonces = 0, late = 0, checks = 0;
 };
 
 class Core {
@@ -104,7 +104,7 @@
     std::uint32_t serial = 0;
     std::uint64_t order = 0;  // among all messages of this channel
     Ms sent = 0;
-    std::uint64_t module = 0;  // that ordered it
+    std::uint64_t module = 0;  // that ordered it; 0: the channel's own health check
     double lines = 0;          // that it counts in the channel
   };
   struct Connection {
@@ -132,6 +132,7 @@
   void refuse(Connections::iterator c, const std::string& reason);
   void end(Connections::iterator c, const std::string& reason);
   void upkeep(Ms now);
+  bool check_quiet(ConnectionId id, Connection& c, Ms now);
   bool overdue(const Nonce& nonce, Ms now) const;
   void acknowledge(Connection& c, std::size_t nonces, Ms now);
   void settle(Connection& c);
@@ -167,8 +168,8 @@
   std::deque<std::pair<std::uint64_t, Ms>> passed_;  // acknowledged nonces' orders, growing, and when
   std::uint64_t module_ = 0, last_probe_ = 0;
   std::map<EndpointId, std::uint64_t> probing_;  // those that the present module waits for, and their numbers
-  double former_lines_ = 0;                      // of former modules' messages that are not confirmed
-  bool reopen_ = false;                          // the watch at discovery's present address
+  double other_lines_ = 0;  // unconfirmed, of messages that the present module did not order
+  bool reopen_ = false;     // the watch at discovery's present address
   Ms next_upkeep_ = 0;
   Counters counters_;
   // For the log alone: nothing is decided by it.
--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -507,6 +507,23 @@
   EXPECT_EQ(rig.core.proxies(), 1u);
 }
 
+TEST(PlatformCore, AStreamThatFallsSilentAfterLongHealthIsFoundThoughNothingIsWrittenToIt) {
+  Rig rig;
+  ConnectionId lively = rig.join(0), quiet = rig.join(1), silent = rig.join(2);
+  rig.live(40000, {lively, quiet, silent});
+  std::uint64_t before = rig.core.counters().checks;
+  for (int k = 0; k < 60; ++k) {
+    rig.live(500, {lively, quiet});  // quiet: no requests come to it, but it lives
+    rig.say(lively,
+            {{"t", "demand"}, {"node", 0}, {"route", "buy"}, {"total", 4}, {"errors", 0}, {"interval", 500}});
+    if (k % 10 == 0) stir(rig, 6 + k);
+  }
+  EXPECT_TRUE(rig.is_closed(silent));
+  EXPECT_FALSE(rig.is_closed(quiet));
+  EXPECT_FALSE(rig.is_closed(lively));
+  EXPECT_LE(rig.core.counters().checks - before, 10u) << "one a stream in ten seconds";
+}
+
 TEST(PlatformCore, AStreamThatWasJudgedSilentAndItsSuccessorInOneTurn) {
   Rig rig;
   ConnectionId alive = rig.join(0), silent = rig.join(1);
--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -40,7 +40,7 @@
   auto used = std::get<DemandReport>(parse_message(
       R"({"t":"demand","node":3,"route":"buy","total":4,"errors":0,"interval":500.5})", kNames, 40));
   EXPECT_EQ(used.request_class, ClassId{1});
-  auto mark = std::get<Ack>(parse_message(R"({"t":"ack","node":3,"nonce":905,"latency":310.4})", kNames, 40));
+  auto ack = std::get<Ack>(parse_message(R"({"t":"ack","node":3,"nonce":905,"latency":310.4})", kNames, 40));
   EXPECT_EQ(ack.nonce, 905u);
   // Tries that all failed have no mean time.
   EXPECT_FALSE(refusal(
