--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -23,12 +23,12 @@
 constexpr std::size_t kReserved = 32;  // descriptors for all else but probes: loop, discovery, files
 // probes at a time: those of endpoints that hang must leave some for the others; more would only be a burst
 constexpr std::size_t kProbesLeast = 16, kProbesMost = 64;
-constexpr Ms kAckSlack = 1000;     // ms that an ack may take beyond the channel's longest
-constexpr Ms kSilentMost = 20000;  // ms without an answer, where no other proxy's tells
-constexpr Ms kQuiet = 10000;       // ms without a byte: a proxy that serves has reported its demand since
-constexpr Ms kCheckEach = 50;   // ms between two health checks of streams: after a cut all are quiet at once
-constexpr Ms kViewEach = 1000;  // ms between two accounts of all endpoints
-constexpr Ms kPassedKept = 60000;          // ms
+constexpr Ms kAckSlack = 1000;       // ms that an ack may take beyond the channel's longest
+constexpr Ms kSilentMost = 20000;    // ms without an answer, where no other proxy's tells
+constexpr Ms kQuiet = 10000;         // ms without a byte: a proxy that serves has reported its demand since
+constexpr double kCheckPart = 0.05;  // of the channel, for health checks: after a cut many are quiet at once
+constexpr Ms kViewEach = 1000;       // ms between two accounts of all endpoints
+constexpr Ms kPassedKept = 60000;    // ms
 constexpr std::size_t kMostSettled = 256;  // stamps kept of a stream: more are never on their way
 
 Time at(Ms ms) { return Time(Duration(ms)); }
@@ -529,6 +529,8 @@
 void Core::upkeep(Ms now) {
   next_upkeep_ = now + kUpkeep;
   while (passed_.size() > 1 && passed_.front().second < now - kPassedKept) passed_.pop_front();
+  const Settings& set = configuration_.settings;
+  double checks = kCheckPart * set.egress_lines_per_s * kUpkeep / 1000 / (set.envelope_lines + 1);
   std::size_t unfinished = 0;
   for (auto next = connections_.begin(); next != connections_.end();) {
     auto c = next++;  // `c` may end here
@@ -543,7 +545,7 @@
       refuse(c, "a message does not end");
       continue;
     }
-    check_quiet(c->first, connection, now);
+    if (checks > 0 && check_quiet(c->first, connection, now)) --checks;
     while (!connection.unacked.empty() && overdue(connection.unacked.front(), now)) {
       ++counters_.unacked_nonces;
       // The message is through: its lines must leave the module's account, or they would hold up everybody.
@@ -561,19 +563,18 @@
 
 // A stream that falls silent while nothing is written to it would stand for its proxy for good, and its demand with
 // it. A nonce alone asks whether it lives. It is no message of the module's, which is told what it takes (rule 5).
-void Core::check_quiet(ConnectionId id, Connection& c, Ms now) {
+bool Core::check_quiet(ConnectionId id, Connection& c, Ms now) {
   const Settings& set = configuration_.settings;
-  if (c.is != Connection::Is::proxy || !c.unacked.empty() || now < c.heard + kQuiet || now < next_check_)
-    return;
+  if (c.is != Connection::Is::proxy || !c.unacked.empty() || now < c.heard + kQuiet) return false;
   if (set.pushes_allowed > 0 && 2 * messages_within(c, now) >= static_cast<std::size_t>(set.pushes_allowed))
-    return;
-  next_check_ = now + kCheckEach;
+    return false;
   ++counters_.checks;
   c.unacked.push_back({++last_nonce_, 0, ++last_order_, now, 0, set.envelope_lines + 1});
   c.messages.push_back(now);
   other_lines_ += set.envelope_lines + 1;
   pending_.push_back(ChannelShared{other_lines_, {{c.joined.proxy, 1}}});
   send(id, push_lines({}, last_nonce_, configuration_.names));
+  return true;
 }
 
 void Core::note_view(Ms now) {
