--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -68,12 +68,24 @@
     if (c != connections_.end() && c->second.is == Connection::Is::opening) break;
     opening_.pop_front();
   }
-  std::size_t reserved = kReserved + most_probes(configuration_.sockets);
-  std::size_t most = configuration_.sockets > 2 * reserved ? configuration_.sockets - reserved : reserved;
-  if (connections_.size() <= most || opening_.empty()) return std::nullopt;
+  if (connections_.size() <= most_connections() || opening_.empty()) return std::nullopt;
   return opening_.front();
 }
 
+std::size_t Core::most_connections() const {
+  std::size_t reserved = kReserved + most_probes(configuration_.sockets);
+  return configuration_.sockets > 2 * reserved ? configuration_.sockets - reserved : reserved;
+}
+
+// Past the last descriptor that may be given away, one stream more would cost all others the list and the probes.
+void Core::admit(Connection& c, Connection::Is as) {
+  if (joined_ >= most_connections())
+    throw Unusable(Unusable::Scope::connection, "there are descriptors for no more who join");
+  ++joined_;
+  c.is = as;
+  c.reader.allow(kMostJoined);
+}
+
 void Core::evict(ConnectionId id) {
   auto c = connections_.find(id);
   if (c == connections_.end() || c->second.is != Connection::Is::opening)
@@ -139,6 +151,7 @@
 
 // What the connection stood for goes with it.
 void Core::end(Connections::iterator c, const std::string& reason) {
+  if (c->second.is != Connection::Is::opening) --joined_;
   if (c->second.is == Connection::Is::proxy) {
     settle(c->second);
     ProxyId proxy = c->second.joined.proxy;
@@ -165,9 +178,8 @@
     refuse(connections_.find(others.front()), "the locality has newer collectors");
     others.pop_front();
   }
+  admit(c->second, Connection::Is::collector);
   others.push_back(c->first);
-  c->second.is = Connection::Is::collector;
-  c->second.reader.allow(kMostJoined);
   log(log::Level::info, "collector_joined", {{"locality", configuration_.names.localities[raw(m.locality)]}});
 }
 
@@ -180,9 +192,8 @@
     end(connections_.find(former->second), "the proxy has a newer stream");
   }
   Connection& connection = c->second;
-  connection.is = Connection::Is::proxy;
+  admit(connection, Connection::Is::proxy);
   connection.joined = m;
-  connection.reader.allow(kMostJoined);
   streams_[m.proxy] = c->first;
   log(log::Level::info, "proxy_joined",
       {{"proxy", std::to_string(raw(m.proxy))}, {"connection", std::to_string(raw(c->first))}});
--- a/src/platform/core.h
+++ b/src/platform/core.h
@@ -131,6 +131,8 @@
   void send(ConnectionId to, std::string bytes);
   void refuse(Connections::iterator c, const std::string& reason);
   void end(Connections::iterator c, const std::string& reason);
+  std::size_t most_connections() const;
+  void admit(Connection& c, Connection::Is as);
   void upkeep(Ms now);
   bool check_quiet(ConnectionId id, Connection& c, Ms now);
   bool overdue(const Nonce& nonce, Ms now) const;
@@ -159,6 +161,7 @@
   std::vector<Event> pending_;
   std::multimap<Ms, std::uint64_t> timers_;
   Connections connections_;
+  std::size_t joined_ = 0;  // of them
   std::map<ProxyId, ConnectionId> streams_;
   std::map<Locality, std::deque<ConnectionId>> collectors_;  // in the order they joined
   std::deque<ConnectionId> opening_;  // in the order they came; some of them joined or gone
--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -507,6 +507,29 @@
   EXPECT_EQ(rig.core.proxies(), 1u);
 }
 
+TEST(PlatformCore, WhoJoinsPastTheLastDescriptorIsToldSoAndTheOthersKeepTheirs) {
+  json c = configuration(128);
+  c["settings"]["family_info"]["agents"] = 200;
+  Rig rig(c);
+  std::vector<ConnectionId> all;
+  for (int k = 0; k < 100; ++k) {
+    all.push_back(ConnectionId{1000 + static_cast<std::uint64_t>(k)});
+    rig.core.opened(all.back(), rig.now);
+    rig.say(all.back(), {{"t", "hello"}, {"node", k}, {"locality", "north"}, {"w", 2.0}, {"cold", true}});
+  }
+  rig.turn();
+  EXPECT_EQ(rig.core.connections(), 80u) << "48 descriptors are for the list, the probes and all else";
+  for (std::size_t k = 0; k < all.size(); ++k) EXPECT_EQ(rig.is_closed(all[k]), k >= 80) << k;
+  EXPECT_NE(rig.error(all.back()).find("no more who join"), std::string::npos);
+  rig.join(5);  // a new stream of one that is there takes its place
+  rig.turn();
+  EXPECT_EQ(rig.core.proxies(), 80u);
+  rig.core.closed(all[7], "reset", rig.now);
+  rig.join(90);
+  rig.turn();
+  EXPECT_EQ(rig.core.proxies(), 80u);
+}
+
 TEST(PlatformCore, AStreamThatFallsSilentAfterLongHealthIsFoundThoughNothingIsWrittenToIt) {
   Rig rig;
   ConnectionId lively = rig.join(0), quiet = rig.join(1), silent = rig.join(2);
