What is long gone is forgotten: endpoints a minute after, their names after five

The module forgets one a minute after it was last listed, if no table names it; the directory keeps the name for five minutes, for a line may have to go.

--- a/src/platform/directory.cpp
+++ b/src/platform/directory.cpp
@@ -16,6 +16,7 @@
 constexpr double kMostSize = 1e6;         // a hint of capacity beyond it is no hint
 constexpr double kMostWall = 1e14;        // ms since 1970; beyond: no time of this machine's life
 constexpr std::size_t kMostFaults = 100;  // told of one object
+constexpr Ms kGoneKept = 300000;          // ms; the module forgets after a minute
 
 std::optional<double> number(const json& entry, const char* name, double most) {
   auto found = entry.find(name);
@@ -101,6 +102,7 @@
     if (where) held.listed.locality = *where, held.az = az;
     if (is) held.listed.state = *is;
     held.present = held.listed.state != EndpointState::terminated;
+    if (!held.present) held.gone = now;
     if (auto cell = number(entry, "pod_group", 4e9); cell && *cell == std::floor(*cell))
       held.listed.cell = static_cast<std::uint32_t>(*cell);
     else fault(*uid, "pod_group");
@@ -122,12 +124,24 @@
   // the spoilt entry may be a drain.
   whole_ = told.faults.empty() && (whole_ || all);
   if (whole_) version_ = static_cast<std::uint64_t>(*version);
-  if (told.list.kind != ListKind::total) return told;
-  for (auto& [id, held] : held_)
-    if (!named.contains(id)) held.present = false, held.listed.state = EndpointState::terminated;
+  if (told.list.kind == ListKind::total)
+    for (auto& [id, held] : held_)
+      if (!named.contains(id) && held.present)
+        held.present = false, held.listed.state = EndpointState::terminated, held.gone = now;
+  forget(now);
   return told;
 }
 
+// An order may name an endpoint for some time after it is gone, to remove its line; not for good.
+void Directory::forget(Ms now) {
+  std::erase_if(held_, [&](auto& entry) {
+    const Held& held = entry.second;
+    if (held.present || now - held.gone < kGoneKept) return false;
+    ids_.erase(held.uid);
+    return true;
+  });
+}
+
 void Directory::rename(const settings::Names& names) {
   for (auto& [id, held] : held_)
     if (auto where = locality(held.az, names)) held.listed.locality = *where;
--- a/src/platform/directory.h
+++ b/src/platform/directory.h
@@ -51,8 +51,10 @@
     std::optional<net::Address> address;
     double started_wall = 0;  // that `listed.started` was made of: a moved instant would look like a restart
     bool present = true;
+    Ms gone = 0;  // since when, if it is not present
   };
   EndpointId id_of(const std::string& uid);
+  void forget(Ms now);
 
   std::uint64_t version_ = 0;
   bool whole_ = true;  // since it was last asked for, nothing was taken in part
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -65,7 +65,9 @@
 constexpr double kOpenRate = 1e6;              // requests/s: a level that binds nobody
 constexpr double kUrgentPart = 0.7, kBindPart = 0.6, kQueuePart = 0.4;  // of the queue: what each may fill
 constexpr double kPushPart = 0.6;  // of the messages allowed to a proxy: for ordinary orders
-constexpr double kAskPart = 0.8;   // of must_ask_in: a quiet subscription is renewed then
+constexpr Duration kForget{
+    60000};                       // after an endpoint is gone: no report or order of it is under way any more
+constexpr double kAskPart = 0.8;  // of must_ask_in: a quiet subscription is renewed then
 
 }  // namespace
 
@@ -267,7 +269,15 @@
   Duration gap() const { return std::max(set.period, Duration(report_gap)); }
 
   void close_period() {
+    // Kept by name for good, all that ever served would weigh on memory and on each look at the list.
+    std::erase_if(endpoints, [&](const auto& e) {
+      auto names = [&](const auto& table) { return table.second.sent.contains(e.first); };
+      auto used = [&](const auto& g) { return std::ranges::any_of(g.second.tables, names); };
+      return e.second.listed.state == EndpointState::terminated && now - e.second.listed_last > kForget &&
+             !std::ranges::any_of(groups, used);
+    });
     for (auto& [id, ep] : endpoints) {
+      if (ep.listed.state != EndpointState::terminated) ep.listed_last = now;
       ep.load = ep.served = 0;
       for (auto& [z, path] : ep.paths) {
         if (now - path.heard > kUnheard * gap()) path.rate = path.good = path.bad = path.failing = 0;
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -46,6 +46,7 @@
   int slow_periods = 0, report_age = 0;      // in periods
   double news = 0;                           // answered tries heard of since the last weight step
   Time heard = kLongAgo, returned = kLongAgo;  // reports; from ejection
+  Time listed_last{};                          // in a period in which it was not gone
   int probes = 0;                              // answered in a row; below 0: unanswered in a row
   std::map<Locality, Path> paths;
   bool open() const { return listed.state == EndpointState::in_service; }
--- a/tests/platform/directory_test.cpp
+++ b/tests/platform/directory_test.cpp
@@ -125,6 +125,26 @@
   EXPECT_EQ(take(list(3, false, {started}), 2000, 5e11 + 1000).list.entries[0].started, Time(Duration(2500)));
 }
 
+TEST_F(DirectoryTest, WhatIsLongGoneIsForgottenAndWhatIsJustGoneStillHasItsName) {
+  Ms now = 1000;
+  std::string last;
+  for (int k = 0; k < 500; ++k) {  // all are replaced every minute, for hours
+    std::vector<json> present;
+    for (int i = 0; i < 20; ++i) {
+      present.push_back(target("s-" + std::to_string(k) + "-" + std::to_string(i), "north"));
+      if (k > 0)
+        present.push_back(
+            target("s-" + std::to_string(k - 1) + "-" + std::to_string(i), "north", "terminated"));
+    }
+    take(list(static_cast<std::uint64_t>(k) + 1, false, present), now += 60000);
+    EXPECT_TRUE(last.empty() || directory.uid(*directory.find(last))) << "its line may have to go yet";
+    last = "s-" + std::to_string(k) + "-0";
+  }
+  EXPECT_LE(directory.size(), 20u * 7);
+  EXPECT_FALSE(directory.find("s-1-0"));
+  EXPECT_EQ(directory.all().size(), 20u);
+}
+
 TEST_F(DirectoryTest, WhatIsNoListChangesNothing) {
   take(four());
   for (const char* bad : {"", "[]", "{", R"({"rev":1,"all":true})", R"({"rev":1,"targets":[]})",
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -442,6 +442,25 @@
   EXPECT_GT(fleet.line(1, 0, 3), 0);
 }
 
+// What was known of an endpoint tells whether it is still kept: an ejected one that comes back at once is not used.
+TEST(Health, WhoIsLongGoneIsForgottenAndWhoComesBackAtOnceIsNot) {
+  for (bool at_once : {true, false}) {
+    Fleet f = running();
+    f.run(8, server_fails);
+    ASSERT_EQ(f.line(1, 0, 11), 0);
+    ListedEndpoint gone = f.listed[0];
+    ASSERT_EQ(gone.id, EndpointId(11));
+    gone.state = EndpointState::terminated;
+    f.listed.erase(f.listed.begin());
+    f.send({EndpointList{ListKind::incremental, {gone}}});
+    f.run(at_once ? 2 : 140, all_fine);
+    gone.state = EndpointState::in_service;
+    f.send({EndpointList{ListKind::incremental, {gone}}});
+    f.run(2, all_fine);
+    EXPECT_EQ(f.line(1, 0, 11) > 0, !at_once);
+  }
+}
+
 TEST(Health, ReturnsByAnsweredProbesAndEasesIn) {
   Fleet f = running();
   f.run(4, server_fails);
