--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -29,7 +29,7 @@
 constexpr double kCheckPart = 0.05;  // of the channel, for health checks: after a cut many are quiet at once
 constexpr Ms kViewEach = 1000;       // ms between two accounts of all endpoints
 constexpr Ms kPassedKept = 60000;    // ms
-constexpr std::size_t kMostSettled = 256;  // stamps kept of a stream: more are never on their way
+constexpr std::size_t kMostSettled = 256;  // nonces kept of a stream: more are never on their way
 
 Time at(Ms ms) { return Time(Duration(ms)); }
 ClassMask bit(ClassId c) { return ClassMask{1} << raw(c); }
