The test of messages across a reload fails without what it is for

Undoing the mend showed that AFreshModuleKeepsTheMessagesAllowedToAProxyTogetherWithTheFormerOne passed without it: each list change went out in the bind.

--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -436,17 +436,21 @@
   c["settings"]["family_info"]["pushes_allowed"] = 6;
   Rig rig(c);
   ConnectionId p = rig.join(0);
+  auto messages = [&] {
+    std::size_t n = 0;
+    for (const json& m : rig.messages(p)) n += m["t"] == "push" && !m.value("part", false);
+    return n;
+  };
   Ms begun = rig.now;
-  for (int k = 0; k < 12; ++k) {  // other settings time and again, and a list that moves beneath them
+  for (int k = 0; k < 12; ++k) {  // other settings time and again, and a list that moves beneath each of them
     c["settings"]["guarantees"]["warm_up"] = 9000.0 + k;
     rig.core.reconfigure(parse_configuration(c.dump()), rig.now);
+    rig.live(200, {p});
     stir(rig, 6 + k);
-    rig.live(700, {p});
+    rig.live(500, {p});
   }
-  std::size_t messages = 0;
-  for (const json& m : rig.messages(p)) messages += m["t"] == "push" && !m.value("part", false);
-  ASSERT_LT(rig.now - begun, 10000);
-  EXPECT_LE(messages, 6u + 12u) << "a bind each, and what is allowed besides";
+  ASSERT_LT(rig.now - begun, 10000) << "all within the span that counts";
+  EXPECT_LE(messages(), 15u) << "the binds that fresh modules owe, and hardly more: they use up what is allowed";
 }
 
 TEST(PlatformCore, OtherLocalitiesFindTheListByItsNewNumbers) {
