--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -215,7 +215,8 @@
     if (client) fail(Failure::broken, "ended");
   }
   bool body(std::string_view part) override {
-    // The body of a refusal is no part of what is listened for: it comes whole, with its status, in the answer.
+    // The body of a refusal is no part of what is listened for: it comes whole, with its status, in the
+    // answer.
     if (!piece || parser.status() != 200) return false;
     auto give = piece;
     give(part);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -84,8 +84,8 @@
   Client(net::Reactor& reactor, Options options) : reactor_(reactor), options_(options) {}
   ~Client();
   Call ask(net::Address to, const Message& message, Ms timeout_ms, Done done);
-  // The same for an answer without end: `piece` is given each part of the body of a 200; `done` follows at its
-  // end or failure. `quiet_ms` is the longest time without a byte.
+  // The same for an answer without end: `piece` is given each part of the body of a 200; `done` follows at
+  // its end or failure. `quiet_ms` is the longest time without a byte.
   Call listen(net::Address to, const Message& message, Ms quiet_ms,
               std::function<void(std::string_view)> piece, Done done);
   void cancel(Call call);           // no answer follows; its connection is closed
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -21,8 +21,8 @@
 constexpr auto kLastWords =
     std::chrono::milliseconds(100);  // for what is queued at the end, where it is read
 
-// Standard error without the C library's stream: a thread that waits on a pipe that nobody reads would hold that
-// stream's lock, which the end of the process takes.
+// Standard error without the C library's stream: a thread that waits on a pipe that nobody reads would hold
+// that stream's lock, which the end of the process takes.
 class StandardError final : public spdlog::sinks::base_sink<std::mutex> {
   void sink_it_(const spdlog::details::log_msg& message) override {
     spdlog::memory_buf_t line;
--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -77,7 +77,8 @@
   return configuration_.sockets > 2 * reserved ? configuration_.sockets - reserved : reserved;
 }
 
-// Past the last descriptor that may be given away, one stream more would cost all others the list and the probes.
+// Past the last descriptor that may be given away, one stream more would cost all others the list and the
+// probes.
 void Core::admit(Connection& c, Connection::Is as) {
   if (joined_ >= most_connections())
     throw Unusable(Unusable::Scope::connection, "there are descriptors for no more who join");
@@ -383,8 +384,8 @@
   while (!same && !streams_.empty())
     refuse(connections_.find(streams_.begin()->second), "the settings have changed");
   start_module();
-  // Rule 5 is kept by both modules together: the fresh one is told what the former ones' messages still hold of the
-  // channel, and how many of the last ones each proxy was sent.
+  // Rule 5 is kept by both modules together: the fresh one is told what the former ones' messages still hold
+  // of the channel, and how many of the last ones each proxy was sent.
   ChannelShared shared;
   other_lines_ = 0;
   for (auto& [proxy, id] : streams_) {
@@ -572,8 +573,9 @@
   }
 }
 
-// A stream that falls silent while nothing is written to it would stand for its proxy for good, and its demand with
-// it. A nonce alone asks whether it lives. It is no message of the module's, which is told what it takes (rule 5).
+// A stream that falls silent while nothing is written to it would stand for its proxy for good, and its
+// demand with it. A nonce alone asks whether it lives. It is no message of the module's, which is told what
+// it takes (rule 5).
 bool Core::check_quiet(ConnectionId id, Connection& c, Ms now) {
   const Settings& set = configuration_.settings;
   if (c.is != Connection::Is::proxy || !c.unacked.empty() || now < c.heard + kQuiet) return false;
--- a/src/platform/core.h
+++ b/src/platform/core.h
@@ -83,8 +83,8 @@
   // Another configuration from this instant on. Where the module's settings differ a fresh module takes over.
   void reconfigure(Configuration next, Ms now);
 
-  // Descriptors are for who has joined: who is to make room for others; nothing while there is enough of it. What
-  // has come of it is to be read first, for it may be a joining.
+  // Descriptors are for who has joined: who is to make room for others; nothing while there is enough of it.
+  // What has come of it is to be read first, for it may be a joining.
   std::optional<ConnectionId> to_evict();
   void evict(ConnectionId id);
 
--- a/src/platform/directory.cpp
+++ b/src/platform/directory.cpp
@@ -120,8 +120,8 @@
     named.insert(id);
     told.list.entries.push_back(held.listed);
   }
-  // A version that was taken in part is asked for again, however sound those after it are: what it had to tell of
-  // the spoilt entry may be a drain.
+  // A version that was taken in part is asked for again, however sound those after it are: what it had to
+  // tell of the spoilt entry may be a drain.
   whole_ = told.faults.empty() && (whole_ || all);
   if (whole_) version_ = static_cast<std::uint64_t>(*version);
   if (told.list.kind == ListKind::total)
--- a/src/platform/directory.h
+++ b/src/platform/directory.h
@@ -26,14 +26,14 @@
   };
 
   // One of discovery's objects. An entry with an unusable value does not stop the others, and what else it
-  // says holds: a drain that was written counts as told. An older revision, of a former watch or of a source that
-  // lags behind, is followed, but takes back no drain and no start: what is new or goes further in it holds. Throws
-  // std::runtime_error where the object is none; then nothing has changed.
+  // says holds: a drain that was written counts as told. An older revision, of a former watch or of a source
+  // that lags behind, is followed, but takes back no drain and no start: what is new or goes further in it
+  // holds. Throws std::runtime_error where the object is none; then nothing has changed.
   Told take(std::string_view json, const settings::Names& names, Ms now, double wall_now);
   // The list is asked for anew: what was taken in part before comes again.
   void asked_again() { whole_ = true; }
-  // Other settings: localities by their new numbers. Who is in none of them is not listed any more, and the whole
-  // list has to be asked for, as it may have held others that were in none of the former.
+  // Other settings: localities by their new numbers. Who is in none of them is not listed any more, and the
+  // whole list has to be asked for, as it may have held others that were in none of the former.
   void rename(const settings::Names& names);
   // The whole list, as last told.
   std::vector<ListedEndpoint> all() const;
--- a/src/platform/list_watch.h
+++ b/src/platform/list_watch.h
@@ -1,5 +1,5 @@
-// Which of the watches on discovery's list counts: bytes and ends by the watch's number in, whole objects and what
-// to open or close out. A watch that is over is known by its number, whatever comes of it late. Pure.
+// Which of the watches on discovery's list counts: bytes and ends by the watch's number in, whole objects and
+// what to open or close out. A watch that is over is known by its number, whatever comes of it late. Pure.
 #pragma once
 
 #include <cstdint>
@@ -27,11 +27,11 @@
 
   explicit ListWatch(std::uint64_t seed) : random_(seed) {}
 
-  // A new watch; `closed` receives the numbers of those that are over by it. The one that tells stays until the
-  // new one does.
+  // A new watch; `closed` receives the numbers of those that are over by it. The one that tells stays until
+  // the new one does.
   Number open(std::vector<Number>& closed);
-  // The whole objects that these bytes end, without empty lines. Throws std::runtime_error for an object without
-  // end; the watch is over.
+  // The whole objects that these bytes end, without empty lines. Throws std::runtime_error for an object
+  // without end; the watch is over.
   std::vector<std::string> bytes(Number number, std::string_view piece);
   // An object of this watch was taken: returns those before it, which are over.
   std::vector<Number> tells(Number number);
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -61,7 +61,8 @@
   }
 
  private:
-  // The process before this one may still hold the address while it ends: that is no reason to refuse the start.
+  // The process before this one may still hold the address while it ends: that is no reason to refuse the
+  // start.
   void listen(Ms until) {
     try {
       listener_ = std::make_unique<net::Listener>(
@@ -115,8 +116,8 @@
                          soon();
                        }});
     // Hundreds may be accepted in one turn of the loop: who has to go for this one goes now, or descriptors
-    // run out before the turn ends and the listener turns away whoever comes next, be it a proxy. Nor has the turn
-    // read what they sent: a joining that waits in the kernel's buffer is no reason to be turned away.
+    // run out before the turn ends and the listener turns away whoever comes next, be it a proxy. Nor has the
+    // turn read what they sent: a joining that waits in the kernel's buffer is no reason to be turned away.
     while (auto oldest = core_.to_evict()) {
       if (auto c = connections_.find(*oldest); c != connections_.end()) {
         auto hold = c->second;
--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -450,7 +450,8 @@
     rig.live(500, {p});
   }
   ASSERT_LT(rig.now - begun, 10000) << "all within the span that counts";
-  EXPECT_LE(messages(), 15u) << "the binds that fresh modules owe, and hardly more: they use up what is allowed";
+  EXPECT_LE(messages(), 15u)
+      << "the binds that fresh modules owe, and hardly more: they use up what is allowed";
 }
 
 TEST(PlatformCore, OtherLocalitiesFindTheListByItsNewNumbers) {
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -442,7 +442,8 @@
   EXPECT_GT(fleet.line(1, 0, 3), 0);
 }
 
-// What was known of an endpoint tells whether it is still kept: an ejected one that comes back at once is not used.
+// What was known of an endpoint tells whether it is still kept: an ejected one that comes back at once is not
+// used.
 TEST(Health, WhoIsLongGoneIsForgottenAndWhoComesBackAtOnceIsNot) {
   for (bool at_once : {true, false}) {
     Fleet f = running();
