--- a/tests/platform/service_test.cpp
+++ b/tests/platform/service_test.cpp
@@ -123,6 +123,17 @@
     peer->say({{"t", "hello"}, {"node", node}, {"locality", "north"}, {"w", 20.0}, {"cold", true}});
     return peer;
   }
+  std::unique_ptr<Peer> start_and_serve_one() {
+    start_and_wait();
+    auto proxy = join(0);
+    until("a table", [&] { return proxy->holds("s-a"); });
+    return proxy;
+  }
+  void move_to(Discovery& other) {
+    configured["discovery"] = net::to_string(other.server.address());
+    write_configuration(configured.dump());
+    child->signal(SIGHUP);
+  }
 
   net::Reactor reactor;
   Discovery discovery{reactor};
@@ -175,12 +186,8 @@
 
 TEST_F(PlatformProcess, ANewConfigurationMovesTheWatchAndABadOneChangesNothing) {
   Discovery other(reactor);
-  start_and_wait();
-  auto proxy = join(0);
-  until("a table", [&] { return proxy->holds("s-a"); });
-  configured["discovery"] = net::to_string(other.server.address());
-  write_configuration(configured.dump());
-  child->signal(SIGHUP);
+  auto proxy = start_and_serve_one();
+  move_to(other);
   until("a watch at the new address", [&] { return !other.watches.empty(); });
   write_configuration("{\"name\":");
   child->signal(SIGHUP);
@@ -198,12 +205,8 @@
 TEST_F(PlatformProcess, AWatchThatIsRefusedAfterAMoveLeavesTheFormerOneAtWork) {
   Discovery other(reactor);
   other.refusals = 2;
-  start_and_wait();
-  auto proxy = join(0);
-  until("a table", [&] { return proxy->holds("s-a"); });
-  configured["discovery"] = net::to_string(other.server.address());
-  write_configuration(configured.dump());
-  child->signal(SIGHUP);
+  auto proxy = start_and_serve_one();
+  move_to(other);
   until("a refusal", [&] { return other.refusals == 1; });
   discovery.tell(list(6, false, {target("s-a", "north", "terminating")}));
   until("the drain by the former watch", [&] { return !proxy->holds("s-a"); });
@@ -282,9 +285,7 @@
 }
 
 TEST_F(PlatformProcess, OtherSettingsAndADrainInOneTurn) {
-  start_and_wait();
-  auto proxy = join(0);
-  until("a table", [&] { return proxy->holds("s-a"); });
+  auto proxy = start_and_serve_one();
   child->signal(SIGSTOP);
   discovery.tell(list(6, false, {target("s-a", "north", "terminating")}));
   configured["settings"]["guarantees"]["warm_up"] = 9000.0;
