Removals go before the binds of a mass rejoin

Cause: brain.cpp bind_joined filled the channel to 0.6 of its limit as fast as it emptied, at every event; publish, once a period, found 0.1 of it for the removals of all groups, which need several times that. While a removal finds no room nobody is bound. Test: Drain.ARemovalDoesNotWaitForTheBindsOfAMassRejoin, removal within 1 s; with the mend undone it takes over 5 s.

--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -87,8 +87,8 @@
   std::vector<double> stay;           // the part of its proxies' load that a locality keeps
   Time now{}, next_cut = kLongAgo, next_period = kLongAgo, next_step = kLongAgo, ask_at = kLongAgo;
   int list_failures = 0, next_table = 0;
-  bool list_changed = false;               // orders may not wait for the next period
-  std::deque<ProxyId> unbound;             // in the order they joined
+  bool list_changed = false, removals_wait = false;  // orders may not wait for the next period; find no room
+  std::deque<ProxyId> unbound;                       // in the order they joined
   double mean_taken = 1, fleet_fails = 1;  // of the localities; part of failed tries, 1: none heard of
   double report_gap = 0;                   // ms
   double since_sum = 0;                    // events since demand was summed
@@ -205,7 +205,9 @@
   // Once a stream, after all else of the batch: what the proxy holds is unknown, a full bind settles it. A
   // mass rejoin would overfill the channel (rule 5), so who finds no room there waits with what it holds.
   void bind_joined() {
-    if (endpoints.empty()) return;  // started without a list: an empty table would take away what they hold
+    // Started without a list, an empty table would take away what they hold. And rule 3 where many join as
+    // endpoints drain: binds that fill the channel as it empties would keep out the removals for all of them.
+    if (endpoints.empty() || removals_wait) return;
     for (; !unbound.empty() && channel.waiting(now) <= kBindPart * set.most_waiting_lines;
          unbound.pop_front()) {
       auto p = proxies.find(unbound.front());
@@ -671,8 +673,10 @@
 
   // Writes what has moved, as far as there is room (rule 5; the rest follows); if only what is urgent,
   // lines that must go or halve (draining, gone, ejected, restarted cold endpoints) and lines in their place.
-  void write_group(const GroupKey& key, Group& group, bool urgent, double room) {
+  // True if a line has to go and finds no room.
+  bool write_group(const GroupKey& key, Group& group, bool urgent, double room) {
     std::size_t before = out.size();
+    bool waits = false;
     auto full = [&] { return static_cast<double>(out.size() - before) >= room; };
     group.levels.resize(set.classes.size(), {-1, RetryMode::never});
     if (modes.empty())
@@ -687,8 +691,9 @@
     }
     for (auto& [home, table] : group.tables) {
       auto goes = [&](auto& line) {
-        if (table.want.contains(line.first) || full()) return false;
+        if (table.want.contains(line.first)) return false;
         if (urgent && strength(endpoints.at(line.first), key.locality) > 0) return false;
+        if (waits |= full(); full()) return false;
         out.push_back(SetLine{table.id, line.first, 0});
         return true;
       };
@@ -700,12 +705,14 @@
         out.push_back(SetLine{table.id, id, w});
       }
     }
-    if (out.size() == before) return;
+    if (out.size() == before) return waits;
     for (ProxyId id : group.users) channel.add(id, static_cast<double>(out.size() - before));
     (urgent ? group.last_urgent : group.last_push) = now;
+    return waits;
   }
 
   void publish() {
+    removals_wait = false;
     double allowed = set.pushes_allowed > 0 ? set.pushes_allowed : kOpenRate;
     Duration least = set.pushes_span / allowed, gap = std::max({kStep, set.period, least / kPushPart});
     fleet_fails = mean_of(&State::fail_share, 1);
@@ -718,7 +725,8 @@
         Duration since = now - std::max(group.last_push, urgent ? group.last_urgent : kLongAgo);
         bool due = most <= allowed * (urgent ? kUrgentPart : kPushPart) && (urgent || since >= gap);
         due |= urgent && most <= allowed && since >= least;  // the last of the allowance lasts for the span
-        if (due && room >= 1 && !group.users.empty()) write_group(key, group, urgent, room);
+        if (due && (room >= 1 || urgent) && !group.users.empty())
+          removals_wait |= write_group(key, group, urgent, room < 1 ? 0 : room) && urgent;
       }
   }
 
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
 #include <numeric>
 #include <random>
 
@@ -136,6 +137,44 @@
   }
 }
 
+// All proxies of controllers that died come to one while endpoints drain: their binds filled the channel as
+// fast as it emptied, and the removals for those bound before came seconds too late.
+TEST(Drain, ARemovalDoesNotWaitForTheBindsOfAMassRejoin) {
+  Settings s = two_zone_settings();
+  s.most_waiting_lines = 300, s.proxies = 60;
+  Fleet f(s);
+  f.start(kFour);
+  std::deque<OrderApplied> channel;  // messages in the order they leave it
+  std::set<ProxyId> bound;
+  auto send = [&](vector<Event> events) {
+    f.send(std::move(events));
+    std::set<ProxyId> reached;
+    if (!Fleet::only<SetLine>(f.last).empty()) reached = bound;
+    for (const Bind& b : Fleet::only<Bind>(f.last)) reached.insert(b.proxy), bound.insert(b.proxy);
+    for (const Barrier& barrier : Fleet::only<Barrier>(f.last))
+      for (ProxyId proxy : reached) channel.push_back({proxy, s.push_delay, barrier.serial});
+  };
+  auto step = [&] {  // three messages in a tenth of a second
+    f.now += Duration(100);
+    vector<Event> events{TimerFired{}};
+    for (int k = 0; k < 3 && !channel.empty(); ++k, channel.pop_front()) events.push_back(channel.front());
+    send(events);
+  };
+  vector<Event> joins;
+  for (unsigned p = 1; p <= 60; ++p) joins.push_back(ProxyJoined{ProxyId(p), Locality(0), 20, false});
+  send(joins);
+  for (int k = 0; k < 5; ++k) step();
+  ListedEndpoint drains = endpoint(11, 0);
+  drains.state = EndpointState::terminating;
+  send({EndpointList{ListKind::incremental, {drains}}});
+  Time told = f.now;
+  while (f.line(1, 0, 11) > 0 && f.now - told < Duration(5000)) step();
+  EXPECT_LE((f.now - told).count(), 1000) << "half of the grace";
+  EXPECT_LT(bound.size(), 60u) << "or the test had no rejoin to wait for";
+  for (int k = 0; k < 100; ++k) step();
+  EXPECT_EQ(bound.size(), 60u) << "and the binds go on";
+}
+
 TEST(Drain, AnEndpointMissingFromAWholeListIsGone) {
   Fleet f = running();
   f.send({EndpointList{ListKind::total, {endpoint(12, 0), endpoint(21, 1), endpoint(22, 1)}}});
