While proxies wait to be bound, lines in the place of removed ones wait too

An urgent order wrote each new line in the place of those that went, some 18 a message, as 30 drains shift what each of 76 tables is dealt. While any proxy is unbound these wait for the ordinary pass, unless under half of the table's lines are left.

--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -700,7 +700,9 @@
       bool gone = std::erase_if(table.sent, goes) > 0;
       for (auto& [id, w] : table.want) {
         double had = table.sent.contains(id) ? table.sent[id] : 0;
-        if (full() || !moved(had, w) || (urgent && (had > 0 ? w > had / 2 : !gone))) continue;
+        // While others wait to be bound, lines in the place of those that go wait, too, if enough are left.
+        bool place = gone && (unbound.empty() || 2 * table.sent.size() < table.want.size());
+        if (full() || !moved(had, w) || (urgent && (had > 0 ? w > had / 2 : !place))) continue;
         table.sent[id] = w;
         out.push_back(SetLine{table.id, id, w});
       }
