--- a/src/platform/list_watch.h
+++ b/src/platform/list_watch.h
@@ -38,7 +38,6 @@
   Loss ended(Number number, Ms now);
   std::vector<Number> close_all();
 
-  bool watches(Number number) const { return watches_.contains(number); }
   bool any() const { return !watches_.empty(); }
   // When to open again after so many failures in a row: spread, for all assigners lose one discovery at once.
   Ms retry_at() const { return retry_at_; }
--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -164,13 +164,19 @@
                 {target("s-a", "north", rev % 2 ? "in_service" : "terminating")}));
 }
 
-TEST(PlatformCore, ASilentStreamIsFoundByTheAnswersOfTheOthers) {
-  Rig rig;
+// Two streams, of which the second answers no more while both are written to.
+std::pair<ConnectionId, ConnectionId> one_falls_silent(Rig& rig) {
   ConnectionId alive = rig.join(0), silent = rig.join(1);
   rig.live(500, {alive, silent});
   stir(rig, 6);
   rig.live(1000, {alive});
   stir(rig, 7);
+  return {alive, silent};
+}
+
+TEST(PlatformCore, ASilentStreamIsFoundByTheAnswersOfTheOthers) {
+  Rig rig;
+  auto [alive, silent] = one_falls_silent(rig);
   rig.live(900, {alive});
   EXPECT_FALSE(rig.is_closed(silent)) << "the channel's longest time has not passed";
   rig.live(1500, {alive});
@@ -553,11 +559,7 @@
 
 TEST(PlatformCore, AStreamThatWasJudgedSilentAndItsSuccessorInOneTurn) {
   Rig rig;
-  ConnectionId alive = rig.join(0), silent = rig.join(1);
-  rig.live(500, {alive, silent});
-  stir(rig, 6);
-  rig.live(1000, {alive});
-  stir(rig, 7);
+  auto [alive, silent] = one_falls_silent(rig);
   ConnectionId successor = rig.join(1);  // just before it would be judged
   rig.live(3000, {alive, successor});
   EXPECT_TRUE(rig.is_closed(silent));
