--- a/src/day/player.cpp
+++ b/src/day/player.cpp
@@ -34,6 +34,7 @@
 constexpr Ms kStopWithin = 5000;
 constexpr Ms kStartWithin = 1000;  // of an assigner's process, until its first figures
 constexpr Ms kLookLate = 800;      // that a busy machine may let figures wait
+constexpr Ms kClockLook = 20;      // between looks for steps of the wall clock
 constexpr std::uint16_t kFrontPort = 9000, kServerPort = 8000, kChannelPort = 7000, kListPort = 7100,
                         kReceiverPort = 9090, kControlPort = 7300;
 
@@ -143,7 +144,12 @@
     after(day_.calm, [this] { wait_for_joins(world_.now() + kJoinWithin); });
   }
 
+  void watch_clock() {
+    clock_.look();
+    after(kClockLook, [this] { watch_clock(); });
+  }
   void open_receiver() {
+    watch_clock();
     receiver_ = std::make_unique<Receiver>(world_, net::Address{addresses_.ip(0, 251, 1), kReceiverPort});
     receiver_->watch(alerts::read_rules(day_.alert_rules), day_.metrics_interval,
                      [this](const alerts::Alert& a) {
@@ -455,7 +461,7 @@
     out.service = asked > 0 ? served / asked : 1;
     if (receiver_) {
       out.gaps = find_gaps(receiver_->store(), static_cast<std::int64_t>(day_.metrics_interval + kLookLate),
-                           excused_);
+                           excused_, clock_);
       out.sender_faults = receiver_->faults_of_sender();
       out.samples = receiver_->samples(), out.repeated = receiver_->repeated();
       out.alerts = alerts_;
@@ -494,6 +500,7 @@
   std::set<std::uint32_t> dead_;  // killed and not started again
   std::vector<std::pair<std::int64_t, std::int64_t>>
       excused_;  // times without an assigner, by the wall clock
+  base::ClockSteps clock_;
   std::size_t told_ = 0;
   Ms zero_ = 0;
   std::string failure_;
--- a/src/standin/receiver.cpp
+++ b/src/standin/receiver.cpp
@@ -100,7 +100,8 @@
 }
 
 std::vector<std::string> find_gaps(const alerts::Store& store, std::int64_t most_ms,
-                                   const std::vector<std::pair<std::int64_t, std::int64_t>>& excused) {
+                                   const std::vector<std::pair<std::int64_t, std::int64_t>>& excused,
+                                   const base::ClockSteps& clock) {
   std::vector<std::string> out;
   // An assigner's looks are those of its `up`: every other series of it must have each of them.
   std::map<std::string, std::vector<std::int64_t>> looks;
@@ -112,8 +113,10 @@
       std::int64_t from = times[k - 1], to = times[k];
       bool named = std::any_of(excused.begin(), excused.end(),
                                [&](auto& e) { return from <= e.second && to >= e.first; });
-      if (to - from > most_ms && !named)
-        out.push_back(fmt::format("assigner {}: nothing for {} ms", label_of(labels, "instance"), to - from));
+      double apart =
+          static_cast<double>(to - from) - clock.forward(static_cast<double>(from), static_cast<double>(to));
+      if (apart > static_cast<double>(most_ms) && !named)
+        out.push_back(fmt::format("assigner {}: nothing for {:.0f} ms", label_of(labels, "instance"), apart));
     }
   }
   if (looks.empty()) out.push_back("no series at all");
--- a/tests/base/base_test.cpp
+++ b/tests/base/base_test.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 
 #include "base/archive.h"
+#include "base/clock_steps.h"
 #include "base/file.h"
 
 namespace beamshunt::base {
@@ -107,5 +108,25 @@
   }
 }
 
+// A clock that steps is told from a process that is held up, whichever of its two readings is late.
+TEST(ClockSteps, AreToldFromALoopThatIsHeldUp) {
+  ClockSteps clock;
+  clock.look(0, 1000, 0);
+  clock.look(20, 1020, 20.1);
+  clock.look(900, 1900, 900);     // the loop was late: no step
+  clock.look(920, 1920, 1850);    // held up between its readings: tells nothing
+  clock.look(1870, 2870, 1870);   //
+  clock.look(1890, 48890, 1890);  // 46 s on
+  clock.look(1910, 48900, 1910);  // slewed
+  clock.look(1930, 47920, 1930);  // a second back
+  ASSERT_EQ(clock.steps().size(), 2u);
+  EXPECT_EQ(clock.steps()[0].by, 46000);
+  EXPECT_EQ(clock.steps()[1].by, -1000);
+  EXPECT_EQ(clock.forward(2800, 48950), 46000);
+  EXPECT_EQ(clock.forward(2880, 48880), 46000);  // both stamps within the two looks
+  EXPECT_EQ(clock.forward(48890, 49500), 0);     // after it
+  EXPECT_EQ(clock.forward(1000, 2870), 0);       // before it
+}
+
 }  // namespace
 }  // namespace beamshunt::base
--- a/tests/standin/models_test.cpp
+++ b/tests/standin/models_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "standin/proxy_model.h"
+#include "standin/receiver.h"
 #include "standin/server_model.h"
 
 namespace beamshunt::standin {
@@ -160,5 +161,22 @@
   EXPECT_TRUE(p.report(500).heard.empty());
 }
 
+alerts::Store looks(std::initializer_list<std::int64_t> times) {
+  alerts::Store store;
+  for (std::int64_t at : times) store.add({{"__name__", "beamshunt_up"}, {"instance", "0"}}, at, 1);
+  return store;
+}
+
+// All days of a machine whose clock was set 927 ms on found a gap of 1127 ms between looks 200 ms apart.
+TEST(FindGaps, AStepOfTheWallClockIsNoneAndALateLookIsOneBesideIt) {
+  base::ClockSteps steady, stepped;
+  stepped.look(0, 10000, 0);
+  stepped.look(20, 10947, 20);
+  EXPECT_EQ(find_gaps(looks({9800, 10927}), 1000, {}, steady).size(), 1u);
+  EXPECT_TRUE(find_gaps(looks({9800, 10927}), 1000, {}, stepped).empty());
+  EXPECT_EQ(find_gaps(looks({9800, 11728}), 1000, {}, stepped).size(), 1u);  // 1001 ms without the step
+  EXPECT_EQ(find_gaps(looks({9800, 10927, 11928}), 1000, {}, stepped).size(), 1u);  // late after the step
+}
+
 }  // namespace
 }  // namespace beamshunt::standin
