Cold endpoints get no more of an overload than they can do, before tries fail

Excluded: wrong tables of other assigners (none have proxies), a weight over the ramp (0.5 of a warm one's at 6 s). At fault: strength() in src/policy/brain.cpp gave a cold endpoint the guaranteed part of a warm one's weight, however much more than the fleet's capacity came; the wait by failures comes a jam too late.

Now the cold part is scaled by the fleet's room: capacity (answered tries over utilization by listed size, learnt while the fleet does not fail) over what comes, heard of or announced. Test: ColdStart.WhatJoinsAndWhatTheListTakesAwayCountBeforeAnyTryFails; with room() taken for 1 it fails (0.25 for at most 0.075).

--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -64,10 +64,9 @@
 constexpr std::uint32_t kGolden = 2654435769;  // scrambles ids: an order that nothing else goes by
 constexpr double kOpenRate = 1e6;              // requests/s: a level that binds nobody
 constexpr double kUrgentPart = 0.7, kBindPart = 0.6, kQueuePart = 0.4;  // of the queue: what each may fill
-constexpr double kPushPart = 0.6;  // of the messages allowed to a proxy: for ordinary orders
-constexpr Duration kForget{
-    60000};                       // after an endpoint is gone: no report or order of it is under way any more
-constexpr double kAskPart = 0.8;  // of must_ask_in: a quiet subscription is renewed then
+constexpr double kPushPart = 0.6;   // of the messages allowed to a proxy: for ordinary orders
+constexpr Duration kForget{60000};  // after it is gone: no report or order of an endpoint is under way
+constexpr double kAskPart = 0.8;    // of must_ask_in: a quiet subscription is renewed then
 
 }  // namespace
 
@@ -90,8 +89,8 @@
   bool list_changed = false, removals_wait = false;  // orders may not wait for the next period; find no room
   std::deque<ProxyId> unbound;                       // in the order they joined
   double mean_taken = 1, fleet_fails = 1;  // of the localities; part of failed tries, 1: none heard of
-  double report_gap = 0;                   // ms
-  double since_sum = 0;                    // events since demand was summed
+  double full_rate = 0, cold_room = 1;     // tries/s of a full endpoint by listed size; part of a cold weight
+  double report_gap = 0, since_sum = 0;    // ms; events since demand was summed
   // Of this reply: retry modes by class; the warmest of a locality's endpoints, or of all.
   std::vector<RetryMode> modes;
   std::map<std::pair<Locality, bool>, double> warmest_of;
@@ -273,10 +272,8 @@
   void close_period() {
     // Kept by name for good, all that ever served would weigh on memory and on each look at the list.
     std::erase_if(endpoints, [&](const auto& e) {
-      auto names = [&](const auto& table) { return table.second.sent.contains(e.first); };
-      auto used = [&](const auto& g) { return std::ranges::any_of(g.second.tables, names); };
       return e.second.listed.state == EndpointState::terminated && now - e.second.listed_last > kForget &&
-             !std::ranges::any_of(groups, used);
+             std::ranges::none_of(groups, [&](const auto& g) { return g.second.names(e.first); });
     });
     for (auto& [id, ep] : endpoints) {
       if (ep.listed.state != EndpointState::terminated) ep.listed_last = now;
@@ -293,18 +290,17 @@
   // Listed sizes are rough. Where load reports tell how busy an endpoint is, good tries over busy time is its
   // speed; the fleet's mean keeps the unit. Not while cold: that speed will not last.
   void learn_speeds() {
-    struct Sum {
-      double served = 0, size = 0;
-    };
-    Sum all;
-    std::map<double, Sum> by_size;
+    Served all;
+    std::map<double, Served> by_size;
     auto known = [&](const Endpoint& ep) {
       return counts(ep) && ep.busy >= kBusyLeast && ep.served > 0 && ep.listed.size > 0 && ramp(ep) >= 1;
     };
     for (auto& [id, ep] : endpoints)
       if (known(ep))
-        for (Sum* s : {&all, &by_size[ep.listed.size]})
+        for (Served* s : {&all, &by_size[ep.listed.size]})
           s->served += ep.served / ep.busy, s->size += ep.listed.size;
+    if (all.size > 0 && fleet_fails <= kCommonBad)
+      smooth(full_rate, all.served / all.size, kSpeedSmoothing, full_rate == 0);
     auto over_mean = [&](double served, double size) {
       return std::clamp(served / size * all.size / all.served, kSpeedLeast, kSpeedMost);
     };
@@ -349,9 +345,8 @@
   bool counts(const Endpoint& e) const { return e.open() && e.base > 0 && now - e.heard < kUnheard * gap(); }
 
   double fail_share(const Endpoint& ep) const {
-    double bad = 0, tries = 0;
-    for (const auto& [z, path] : ep.paths) bad += path.bad, tries += path.tries();
-    return tries >= kFailsLeast ? bad / tries : 0;
+    Path all = ep.all_paths();
+    return all.tries() >= kFailsLeast ? all.bad / all.tries() : 0;
   }
 
   // Latency over the lowest seen. Failed tries count as so much more waiting, lest an endpoint that turns
@@ -386,8 +381,7 @@
         slowest = &ep;
     if (!slowest) return;
     std::vector<double> there(set.classes.size(), 0);
-    double tries = 0, capacity = 0;
-    for (const auto& [z, path] : slowest->paths) tries += path.tries();
+    double tries = slowest->all_paths().tries(), capacity = 0;
     for (const auto& [z, path] : slowest->paths) {
       double local = demand.in(at(z));
       for (std::size_t c = 0; c < there.size() && tries > 0 && local > 0; ++c)
@@ -502,13 +496,22 @@
     return ep.listed.started_known ? std::min(back, part(ep.listed.started, set.warm_up)) : back;
   }
 
+  // Rule 4 in a jam: the fleet's overload would come to a cold endpoint, too. It gets no more than it can do,
+  // and waits while the others fail and there are any; a controller just started knows no calm yet.
+  double eased(const Endpoint& ep) const { return ramp(ep) < 1 ? ramp(ep) * cold_room : 1; }
   double strength(const Endpoint& ep, Locality from) const {
-    double r = !ep.open() || ejected(ep, from) ? 0 : ramp(ep);
-    // Rule 4 in a jam: the fleet's overload, repeats and all, would come to a cold endpoint as well. It waits
-    // until the others no longer fail or nothing else is left; a controller just started knows no calm yet.
+    double r = !ep.open() || ejected(ep, from) ? 0 : eased(ep);
     return r < 1 && fleet_fails > kCommonBad ? 0 : ep.listed.size * ep.speed * r;
   }
 
+  // What the fleet can do over what comes: the list tells of lost capacity, joins of load, before tries fail.
+  double room() const {
+    double load = 0, full = 0;
+    for (const auto& [id, ep] : endpoints)
+      load += ep.load, full += ep.open() ? full_rate * ep.listed.size * ep.speed * ramp(ep) : 0;
+    return full > 0 ? std::min(1.0, full / std::max({load, demand.all(), 1e-9})) : 1;
+  }
+
   // ---- Tables ----
   // The part of its capacity that a locality's work takes, by the endpoints' own account. Where other
   // controllers serve other localities' proxies, their load is not heard of: what stays at home then falls
@@ -604,7 +607,7 @@
       std::map<Locality, double> all_load, all_due;
       auto due = [&](EndpointId id) {
         const Endpoint& ep = endpoints.at(id);
-        return ep.listed.size * ep.speed * ep.nudge * ramp(ep);
+        return ep.listed.size * ep.speed * ep.nudge * eased(ep);
       };
       for (auto& [came, want] : tables) {
         double sum = 0;
@@ -718,6 +721,7 @@
     double allowed = set.pushes_allowed > 0 ? set.pushes_allowed : kOpenRate;
     Duration least = set.pushes_span / allowed, gap = std::max({kStep, set.period, least / kPushPart});
     fleet_fails = mean_of(&State::fail_share, 1);
+    cold_room = room();
     plan_tables();
     for (bool urgent : {true, false})
       for (auto& [key, group] : groups) {
@@ -763,13 +767,11 @@
         if (set.single_writer) out.push_back(Admit{t, false, 0, 0, RetryMode::never});
       }
       if (now < slice.move_at) continue;
-      auto rank = [&](auto& e) {
-        return std::pair{ramp(e.second) < 1, held[e.first] / std::max(e.second.listed.size, 1e-3)};
-      };
-      auto best = endpoints.end();
-      for (auto e = endpoints.begin(); e != endpoints.end(); ++e)
-        if (e->second.open() && (best == endpoints.end() || rank(*e) < rank(*best))) best = e;
-      if (best == endpoints.end()) continue;
+      auto best = std::ranges::min_element(endpoints, {}, [&](auto& e) {
+        double size = std::max(e.second.listed.size, 1e-3);
+        return std::tuple{!e.second.open(), ramp(e.second) < 1, held[e.first] / size};
+      });
+      if (best == endpoints.end() || !best->second.open()) continue;
       slice.lines[best->first] = 1;
       ++held[best->first];
       out.push_back(SetLine{t, best->first, 1});
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -50,6 +50,11 @@
   int probes = 0;                              // answered in a row; below 0: unanswered in a row
   std::map<Locality, Path> paths;
   bool open() const { return listed.state == EndpointState::in_service; }
+  Path all_paths() const {  // tries alone
+    Path all;
+    for (const auto& [z, path] : paths) all.good += path.good, all.bad += path.bad;
+    return all;
+  }
   Endpoint restarted() const {
     Endpoint e;
     e.base = base, e.speed = speed, e.own_speed = own_speed;
@@ -57,6 +62,10 @@
   }
 };
 
+struct Served {  // tries a second of full endpoints, and their listed sizes
+  double served = 0, size = 0;
+};
+
 struct GroupKey {  // proxies that share tables: by locality, throughput band and part of the band
   Locality locality{};
   int band = 0, part = 0;
@@ -91,6 +100,9 @@
   std::map<bool, Table> tables;                      // by whether the classes on it must stay at home
   std::vector<std::pair<double, RetryMode>> levels;  // by class, as sent; below 0: not sent yet
   Time last_push = kLongAgo, last_urgent = kLongAgo;
+  bool names(EndpointId id) const {
+    return std::ranges::any_of(tables, [&](auto& table) { return table.second.sent.contains(id); });
+  }
 };
 
 // What proxies let in, requests a second, by locality and class.
@@ -109,6 +121,11 @@
     return sum;
   }
   double in(std::size_t z) const { return std::accumulate(let_in[z].begin(), let_in[z].end(), 0.0); }
+  double all() const {
+    double sum = 0;
+    for (std::size_t z = 0; z < let_in.size(); ++z) sum += in(z);
+    return sum;
+  }
   double free_in(std::size_t z) const {  // of the classes that may leave their locality
     double sum = 0;
     for (std::size_t c = 0; c < home_only.size(); ++c) sum += home_only[c] ? 0 : let_in[z][c];
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -615,6 +615,35 @@
   EXPECT_GT(f.line(1, 0, 12), 0);
 }
 
+// Each serves 20 tries a second at half of what it can do. Those of a stopped controller come here at once, and
+// reports of it come seconds later: a cold endpoint's part of the load is to stay what it can do.
+TEST(ColdStart, WhatJoinsAndWhatTheListTakesAwayCountBeforeAnyTryFails) {
+  Fleet f(two_zone_settings());
+  f.start(kFour);
+  f.join(1, 0, 20);
+  f.join(2, 1, 20);
+  auto half_full = [](const ListedEndpoint& e) {
+    EndpointHeard h = heard(e, 10, 0, 100);
+    h.load["utilization"] = 0.5;
+    return vector{h};
+  };
+  f.run(12, half_full, 20, 0);
+  ListedEndpoint fresh = endpoint(11, 0);
+  fresh.started = f.now;
+  fresh.started_known = true;
+  f.send({EndpointList{ListKind::incremental, {fresh}}});
+  double calm = f.line(1, 0, 11) / f.line(1, 0, 12);
+  EXPECT_GT(calm, 0.2);  // it is guaranteed to start at 0.25
+  for (unsigned id = 3; id <= 6; ++id) f.join(id, id % 2, 160);
+  f.now += f.settings.period;
+  f.send({TimerFired{}});
+  EXPECT_LE(f.line(4, 0, 11) / f.line(4, 0, 12), 0.3 * calm) << "720/s come, 120 can be done";
+  ListedEndpoint drains = endpoint(22, 1);
+  drains.state = EndpointState::terminating;
+  f.send({EndpointList{ListKind::incremental, {drains}}});
+  EXPECT_LE(f.line(4, 0, 11) / f.line(4, 0, 12), 0.2 * calm);
+}
+
 // A controller that starts into a jam has heard of no calm: cold servers wait for the first reports.
 TEST(ColdStart, AControllerJustStartedSparesColdServers) {
   Fleet f(two_zone_settings());
