A locality that comes back is let in by how much of its size the list shows

At fault: cold_level() in src/policy/brain.cpp let in the usual rate times the warmth of the warmest, as if the whole locality were back. It now counts the listed size that is back and what is guaranteed of it, over all that is known of the locality. Sites whose levels are shares had no such level at all; they have it now. Found by its test: a share that came to 0.95 stayed there for good, under the tenth by which a level has to move. An open level is always sent.

Tests: ColdStart.AHomeOnlyClassIsLimitedToWhatIsBackOfItsLocality, for rates and shares; with the warmest alone it fails (2.5 for at most 0.55), without the open level too (0.953 for 1).

--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -91,9 +91,9 @@
   double mean_taken = 1, fleet_fails = 1;  // of the localities; part of failed tries, 1: none heard of
   double full_rate = 0, cold_room = 1;     // tries/s of a full endpoint by listed size; part of a cold weight
   double report_gap = 0, since_sum = 0;    // ms; events since demand was summed
-  // Of this reply: retry modes by class; the warmest of a locality's endpoints, or of all.
+  // Of this reply: retry modes by class; what is back of a locality's endpoints, or of all.
   std::vector<RetryMode> modes;
-  std::map<std::pair<Locality, bool>, double> warmest_of;
+  std::map<std::pair<Locality, bool>, double> back_of;
   std::map<std::pair<Locality, bool>, Wanted> wanted_of;  // by whether the classes must stay at home
   std::vector<Action> out;
   OrderChannel channel{set};
@@ -605,10 +605,7 @@
     for (int k = 0; k < kEvenings; ++k) {
       std::map<EndpointId, double> load;
       std::map<Locality, double> all_load, all_due;
-      auto due = [&](EndpointId id) {
-        const Endpoint& ep = endpoints.at(id);
-        return ep.listed.size * ep.speed * ep.nudge * eased(ep);
-      };
+      auto due = [&](const Endpoint& ep) { return ep.listed.size * ep.speed * ep.nudge * eased(ep); };
       for (auto& [came, want] : tables) {
         double sum = 0;
         for (auto& [id, w] : *want) sum += w;
@@ -616,12 +613,12 @@
       }
       for (auto& [id, l] : load) {
         Locality z = endpoints.at(id).listed.locality;
-        all_load[z] += l, all_due[z] += due(id);
+        all_load[z] += l, all_due[z] += due(endpoints.at(id));
       }
       for (auto& [came, want] : tables)
         for (auto& [id, w] : *want)
           if (Locality z = endpoints.at(id).listed.locality; load[id] > 0)
-            w *= due(id) / all_due[z] * all_load[z] / load[id];
+            w *= due(endpoints.at(id)) / all_due[z] * all_load[z] / load[id];
     }
   }
 
@@ -634,8 +631,7 @@
     if (slow == 0) return set.default_retry;
     bool loaded = slow > kLoadedSlowdown || mean_taken > kLoadedTaken;
     for (double r : rates) loaded |= r < kNoLimit;
-    // Rule 2: only what is safe anywhere is repeated without proof that the first try never ran; tables span
-    // cells, so a deduplicated request could meet an endpoint that doesn't know the first.
+    // Rule 2: tables span cells, a deduplicated request could meet an endpoint that doesn't know the first.
     return rc.semantics == Semantics::retryable && !loaded ? RetryMode::once : RetryMode::after_proof;
   }
 
@@ -659,24 +655,25 @@
     return most + part;
   }
 
-  // Rule 4 where weights can't help: while all that a table may use is cold (a home-only class, its locality
-  // back from a loss), its proxies let in an even part of their usual rate, times the guaranteed capacity.
+  // Rule 4 where weights can't help: while all that a table may use is cold (a home-only class after a loss),
+  // its proxies let in what is guaranteed of the listed size that is back: perhaps one endpoint, not yet all.
   double cold_level(Locality own, const Group& group, bool home) {
-    auto [known, fresh] = warmest_of.try_emplace({own, home}, 0);
-    double& warmest = known->second;
+    auto [part, fresh] = back_of.try_emplace({own, home}, 1);
+    double warmest = 0, back = 0, all = 0, users = static_cast<double>(group.users.size());
     for (const auto& [id, ep] : endpoints)
-      if (fresh && ep.open() && (!home || ep.listed.locality == own)) warmest = std::max(warmest, ramp(ep));
-    if (set.level_kind != LevelKind::rate || warmest >= 1 || warmest <= 0 || group.users.empty())
-      return kOpenRate;
-    return group.usual * warmest / static_cast<double>(group.users.size() * set.classes.size());
+      if (double r = ep.open() ? ramp(ep) : 0; fresh && (!home || ep.listed.locality == own))
+        warmest = std::max(warmest, r), back += r * ep.listed.size, all += ep.listed.size;
+    if (back > 0 && warmest < 1) part->second = back / all;
+    if (part->second >= 1 || users == 0) return kOpenRate;
+    double usual = group.usual / users / static_cast<double>(set.classes.size());
+    return part->second * (set.level_kind == LevelKind::share ? 1 : usual);
   }
 
   // ---- Pace of orders ----
   static bool moved(double from, double to) { return std::abs(to - from) > kMoved * std::max(from, 1e-9); }
 
-  // Writes what has moved, as far as there is room (rule 5; the rest follows); if only what is urgent,
-  // lines that must go or halve (draining, gone, ejected, restarted cold endpoints) and lines in their place.
-  // True if a line has to go and finds no room.
+  // Writes what has moved, as far as rule 5 has room; if only what is urgent, lines that must go or halve
+  // (draining, gone, ejected, cold endpoints) and lines in their place. True if one must go and has no room.
   bool write_group(const GroupKey& key, Group& group, bool urgent, double room) {
     std::size_t before = out.size();
     bool waits = false;
@@ -687,7 +684,9 @@
     for (std::size_t c = 0; c < set.classes.size() && !urgent; ++c) {
       auto& had = group.levels[c];
       std::pair want{wanted_level(key.locality, group, c), modes[c]};
-      if (had.first >= 0 && had.second == want.second && !moved(had.first, want.first)) continue;
+      // Else a share would stay just under all for good.
+      bool opens = had.first < open_level() && want.first >= open_level();
+      if (had.first >= 0 && had.second == want.second && !opens && !moved(had.first, want.first)) continue;
       had = want;
       TableId table = group.tables.at(set.classes[c].home_only).id;
       out.push_back(Admit{table, false, ClassMask{1} << c, want.first, want.second});
@@ -785,7 +784,7 @@
 
   std::vector<Action> handle(Time time, const std::vector<Event>& events) {
     now = time;
-    modes.clear(), warmest_of.clear();
+    modes.clear(), back_of.clear();
     for (const Event& e : events) std::visit([&](const auto& x) { on(x); }, e);
     follow_list();
     bool period = now >= next_period;
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -673,6 +673,37 @@
   EXPECT_GE(f.level(1, 1).level, 1e5);
 }
 
+// The list tells of one endpoint seconds before the rest: the whole locality's work would come to it.
+TEST(ColdStart, AHomeOnlyClassIsLimitedToWhatIsBackOfItsLocality) {
+  for (LevelKind kind : {LevelKind::rate, LevelKind::share}) {
+    Settings s = two_zone_settings();
+    s.classes[1].home_only = true;
+    s.level_kind = kind;
+    double open = kind == LevelKind::rate ? 1e5 : 1, usual = kind == LevelKind::rate ? 10 : 1;
+    vector<ListedEndpoint> entries = kFour;
+    for (unsigned id : {13, 14, 15}) entries.push_back(endpoint(id, 0));
+    Fleet f = running(s, entries);
+    auto east = [](const ListedEndpoint& e) { return e.locality == Locality(0); };
+    auto set_state = [&](EndpointState state) {
+      for (ListedEndpoint& e : f.listed)
+        if (east(e)) e.state = state, e.started = f.now, e.started_known = true;
+    };
+    set_state(EndpointState::terminated);
+    f.send({EndpointList{ListKind::total, f.listed}});
+    f.run(4, [&](const ListedEndpoint& e) { return east(e) ? vector<EndpointHeard>{} : all_fine(e); });
+    set_state(EndpointState::in_service);
+    f.send({EndpointList{ListKind::incremental, {f.listed[0]}}});
+    EXPECT_FALSE(f.lines(1, 1).empty());
+    EXPECT_LE(f.level(1, 1).level, usual * 0.25 / 5 * 1.1) << "one of five is back";
+    EXPECT_GT(f.level(1, 1).level, 0);
+    f.send({EndpointList{ListKind::incremental, f.listed}});
+    f.run(4, all_fine);
+    EXPECT_GE(f.level(1, 1).level, usual * 0.25) << "all are back";
+    f.run(40, all_fine);
+    EXPECT_GE(f.level(1, 1).level, open);
+  }
+}
+
 TEST(ColdStart, ARestartUnderTheSameIdForgetsItsHealth) {
   Fleet f = running();
   f.run(4, server_fails);
