--- a/src/base/clock_steps.h
+++ b/src/base/clock_steps.h
@@ -1,5 +1,6 @@
-// Steps of the wall clock, seen beside the monotonic one. A machine that is set aside and taken up again finds its
-// wall clock moved on, in 2026 once by 46 s amid a day: stamps lie that far apart though nobody was late.
+// Steps of the wall clock, seen beside the monotonic one. A machine that is set aside and taken up again
+// finds its wall clock moved on, in 2026 once by 46 s amid a day: stamps lie that far apart though nobody was
+// late.
 #pragma once
 
 #include <cmath>
@@ -17,7 +18,8 @@
     Ms by = 0;            // forward; back is below 0
   };
 
-  // A reading of the wall clock between two of the monotonic one. One that was held up between them tells nothing.
+  // A reading of the wall clock between two of the monotonic one. One that was held up between them tells
+  // nothing.
   void look(Ms before, Ms wall, Ms after) {
     if (after - before > kHeldUp) return;
     if (last_) {
@@ -32,7 +34,8 @@
   }
   const std::vector<Step>& steps() const { return steps_; }
 
-  // How far the clock stepped forward between two stamps: the first was taken before a step, the second after it.
+  // How far the clock stepped forward between two stamps: the first was taken before a step, the second after
+  // it.
   Ms forward(Ms from, Ms to) const {
     Ms sum = 0;
     for (const Step& s : steps_)
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -84,7 +84,8 @@
 using Lines = std::map<EndpointId, double>;  // weights
 // The endpoints of each locality in the order of a round of dealing, by what scrambles their ids.
 using Deal = std::map<Locality, std::vector<std::pair<std::uint32_t, EndpointId>>>;
-// An order by what scrambles the ids, each locality for itself; and the chunk of it, of so many, for one table.
+// An order by what scrambles the ids, each locality for itself; and the chunk of it, of so many, for one
+// table.
 inline Deal deal(const Lines& lines, const std::map<EndpointId, Endpoint>& endpoints,
                  std::uint32_t scramble) {
   Deal order;
--- a/src/standin/receiver.h
+++ b/src/standin/receiver.h
@@ -55,8 +55,8 @@
 };
 
 // Whether every series has a sample at every instant at which its assigner looked, and no two looks lie
-// further apart than `most_ms`, but for the times in `excused`; what the wall clock, which stamps them, stepped
-// forward meanwhile is no time. One line for each gap.
+// further apart than `most_ms`, but for the times in `excused`; what the wall clock, which stamps them,
+// stepped forward meanwhile is no time. One line for each gap.
 std::vector<std::string> find_gaps(const alerts::Store& store, std::int64_t most_ms,
                                    const std::vector<std::pair<std::int64_t, std::int64_t>>& excused,
                                    const base::ClockSteps& clock);
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -137,8 +137,8 @@
   }
 }
 
-// All proxies of controllers that died come to one while endpoints drain. The channel takes three messages in a
-// tenth of a second, in their order.
+// All proxies of controllers that died come to one while endpoints drain. The channel takes three messages in
+// a tenth of a second, in their order.
 struct MassRejoin {
   static constexpr unsigned kProxies = 60;
   static Settings settings() {
@@ -181,7 +181,8 @@
   return e;
 }
 
-// Their binds filled the channel as fast as it emptied, and the removals for those bound before came seconds late.
+// Their binds filled the channel as fast as it emptied, and the removals for those bound before came seconds
+// late.
 TEST(Drain, ARemovalDoesNotWaitForTheBindsOfAMassRejoin) {
   MassRejoin r;
   for (int k = 0; k < 5; ++k) r.step();
@@ -194,8 +195,8 @@
   EXPECT_EQ(r.bound.size(), MassRejoin::kProxies) << "and the binds go on";
 }
 
-// In a release others are listed as some drain. Urgent lines in their place filled the channel, and the proxies that
-// waited to be bound waited on with what they held, drained endpoints in it.
+// In a release others are listed as some drain. Urgent lines in their place filled the channel, and the
+// proxies that waited to be bound waited on with what they held, drained endpoints in it.
 TEST(Drain, LinesInThePlaceOfRemovedOnesWaitWhileProxiesWaitToBeBound) {
   MassRejoin r;
   for (int k = 0; k < 5; ++k) r.step();
@@ -655,8 +656,8 @@
   EXPECT_GT(f.line(1, 0, 12), 0);
 }
 
-// Each serves 20 tries a second at half of what it can do. Those of a stopped controller come here at once, and
-// reports of it come seconds later: a cold endpoint's part of the load is to stay what it can do.
+// Each serves 20 tries a second at half of what it can do. Those of a stopped controller come here at once,
+// and reports of it come seconds later: a cold endpoint's part of the load is to stay what it can do.
 TEST(ColdStart, WhatJoinsAndWhatTheListTakesAwayCountBeforeAnyTryFails) {
   Fleet f(two_zone_settings());
   f.start(kFour);
@@ -744,7 +745,8 @@
   }
 }
 
-// Only the classes that are free can leave a locality: where others stay at home, all that is over has to be theirs.
+// Only the classes that are free can leave a locality: where others stay at home, all that is over has to be
+// theirs.
 TEST(ColdStart, TheFirstOfALocalityToComeBackGetsNoMoreOfTheFreeClassesThanItsPart) {
   Settings s = two_zone_settings();
   s.classes[1].home_only = true;
