Some of the free classes stays in its locality where endpoints have room for it

Where what is over comes to all of the free classes, nothing of them stays, and a cut between localities would leave their tables bare.

What stays is kStayLeast at the least, or what the locality's endpoints come to by their strength, if that is less: the first endpoint back of a lost locality still gets no more than its part.

--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -544,7 +544,9 @@
     }
     double mean = all_strong > 0 ? all_load / all_strong : 0;
     double free = demand.free_in(here), over = std::clamp(load[here] - strong[here] * mean, 0.0, free);
-    double kept = set.local_proxies_only ? stay[here] : 1 - over / std::max(free, 1e-9);
+    // Some stays where there are endpoints for it: a cut would leave a table bare that is all remote.
+    double least = std::min(kStayLeast, strong[here] * mean / std::max(load[here], 1e-9));
+    double kept = set.local_proxies_only ? stay[here] : std::max(least, 1 - over / std::max(free, 1e-9));
     for (std::size_t z = 0; z < zones; ++z)
       if (z != here) all_spare += std::max(0.0, strong[z] * mean - load[z]);
     factor[here] = 1;
