--- a/review/1/nested.cpp
+++ b/review/1/nested.cpp
@@ -8,7 +8,7 @@
   std::string folder = argv[1];
   record_file() = std::fopen(argv[2], "w");
   ::signal(SIGPIPE, SIG_IGN);
-  constexpr std::size_t kDepth = 200000;  // 400 kB; a message may hold 1 MiB
+  constexpr std::size_t kDepth = 400000;  // 800 kB; a message may hold 1 MiB
 
   Loop loop;
   Discovery discovery(loop, "127.0.0.1");
