--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,8 +5,8 @@
 export RUN
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-[ -x review/build/drain ] || exit 2
-timeout -k 5 110 review/build/drain "$folder" review/3/record.txt
+[ -x review/build/herd ] || exit 2
+timeout -k 5 110 review/build/herd "$folder" review/3/record.txt
 code=$?
 [ $code -le 1 ] && exit $code
 exit 2
