--- a/review/3/herd.cpp
+++ b/review/3/herd.cpp
@@ -117,7 +117,7 @@
   double begin = now_ms();
   if (trouble()) record("seven other assigners are killed");
   for (std::size_t k = 0; trouble() && k < kLater; ++k)
-    loop.after(fleet.uniform(710, 2400), [&, k] { fleet.join_late(options.zones[k % 3], 6); });
+    loop.after(fleet.uniform(710, 2400), [&, k] { fleet.join_late(options.zones[k % 3]); });
   // Two batches of the release: the tasks drain, their successors are listed, cold, 1.5 s later, and the former
   // end 4 s after they began to drain.
   for (int batch = 0; batch < 2; ++batch)
--- a/review/fleet.h
+++ b/review/fleet.h
@@ -131,9 +131,10 @@
     loop.every(options.period, [this] { report(); });
     for (auto& proxy : proxies) next_request(*proxy);
   }
-  // Adds a proxy that joins now.
+  // Adds a proxy that joins now, with tables that another assigner gave it.
   void join_late(const std::string& zone, std::size_t standing = 12) {
     add_proxy(zone);
+    proxies.back()->ever_joined_ = true;
     join(*proxies.back(), standing);
     next_request(*proxies.back());
   }
