--- a/review/3/herd.cpp
+++ b/review/3/herd.cpp
@@ -1,6 +1,6 @@
-// Seven of ten assigners are killed at once in the middle of a release; the proxies of the dead ones join this
-// one. Judged: no joined proxy sends a request to a task later than the grace after discovery wrote to the
-// assigner that it drains, or after the proxy joined if that was later.
+// Seven of ten assigners are killed at once in the middle of a release; the proxies of the dead ones join
+// this one. Judged: no joined proxy sends a request to a task later than the grace after discovery wrote to
+// the assigner that it drains, or after the proxy joined if that was later.
 #include "../settings.h"
 
 using namespace review;
@@ -118,8 +118,8 @@
   if (trouble()) record("seven other assigners are killed");
   for (std::size_t k = 0; trouble() && k < kLater; ++k)
     loop.after(fleet.uniform(710, 2400), [&, k] { fleet.join_late(options.zones[k % 3]); });
-  // Two batches of the release: the tasks drain, their successors are listed, cold, 1.5 s later, and the former
-  // end 4 s after they began to drain.
+  // Two batches of the release: the tasks drain, their successors are listed, cold, 1.5 s later, and the
+  // former end 4 s after they began to drain.
   for (int batch = 0; batch < 2; ++batch)
     loop.at(begin + 2200 + batch * 5000, [&, batch] {
       std::vector<json> draining;
