Keep 32 levels of JSON values: a deeply nested report ended the assigner

Cause: a value of the wrong type is quoted in the error of its field. The quotation serialized the whole value first, and the library's dump() calls itself for each level. The platform's configuration did the same, converted its settings by a function that calls itself, and copied the cached list by dump(): with such a list in `known` the process did not start. So did the native endpoint list.

Change: base::parse_json builds the document from the library's parser events and replaces what is nested below 32 levels by null, so that nothing that is done with a value later needs much stack. Excerpts of values stand once, in base/json. Settings that deep are refused by name; a list entry keeps its other values.

--- a/src/assigner/endpoint_list_json.cpp
+++ b/src/assigner/endpoint_list_json.cpp
@@ -5,13 +5,15 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
-#include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
 
+#include "base/json.h"
+
 namespace beamshunt::assigner {
 namespace {
 
+using base::json_excerpt;
 using nlohmann::json;
 
 // In ms since 1970; lies in the year 33658. A larger start time has a wrong unit or is damaged.
@@ -33,29 +35,30 @@
   bool in_range = number >= min && number <= max;  // false for NaN, which stands for any non-numeric value
   if (!in_range)
     throw EndpointListError(
-        name, value.dump(),
-        fmt::format("{} is {}, not a number from {} to {}", name, value.dump(), min, max));
+        name, json_excerpt(value),
+        fmt::format("{} is {}, not a number from {} to {}", name, json_excerpt(value), min, max));
   return number;
 }
 
 std::uint64_t unsigned_field(const json& object, const char* name, std::uint64_t max) {
   const json& value = required_field(object, name);
   if (!value.is_number_unsigned() || value.get<std::uint64_t>() > max)
-    throw EndpointListError(name, value.dump(),
-                            fmt::format("{} is {}, not an integer from 0 to {}", name, value.dump(), max));
+    throw EndpointListError(
+        name, json_excerpt(value),
+        fmt::format("{} is {}, not an integer from 0 to {}", name, json_excerpt(value), max));
   return value.get<std::uint64_t>();
 }
 
 const std::string& string_field(const json& object, const char* name) {
   const json& value = required_field(object, name);
   if (!value.is_string())
-    throw EndpointListError(name, value.dump(), fmt::format("{} is {}, not a string", name, value.dump()));
+    throw EndpointListError(name, json_excerpt(value),
+                            fmt::format("{} is {}, not a string", name, json_excerpt(value)));
   return value.get_ref<const std::string&>();
 }
 
 [[noreturn]] void reject_text(const char* name, const std::string& value, const char* reason) {
-  throw EndpointListError(name, json(value).dump(-1, ' ', false, json::error_handler_t::replace),
-                          std::string(name) + " \"" + value + "\" is " + reason);
+  throw EndpointListError(name, json_excerpt(value), std::string(name) + " \"" + value + "\" is " + reason);
 }
 
 std::uint32_t locality_index(const json& entry, const std::vector<std::string>& localities) {
@@ -110,7 +113,7 @@
 }
 
 EndpointListUpdate parse_endpoint_list(std::string_view line, const std::vector<std::string>& localities) {
-  json message = json::parse(line, nullptr, false);
+  const json message = base::parse_json(line).value;
   if (message.is_discarded() || !message.is_object()) throw EndpointListError("", "", "not a JSON object");
   EndpointListUpdate update;
   update.complete = is_complete(message);
--- a/src/http/numbers.cpp
+++ b/src/http/numbers.cpp
@@ -1,15 +1,16 @@
 #include "http/numbers.h"
 
 #include <cmath>
-#include <nlohmann/json.hpp>
+
+#include "base/json.h"
 
 namespace beamshunt::http {
 
 std::map<std::string, double> parse_named_numbers(std::string_view json) {
   std::map<std::string, double> numbers;
-  auto document = nlohmann::json::parse(json, nullptr, false);
+  const nlohmann::json document = base::parse_json(json).value;
   if (!document.is_object()) return numbers;
-  for (auto& [name, value] : document.items())
+  for (const auto& [name, value] : document.items())
     if (value.is_number() && std::isfinite(value.get<double>())) numbers[name] = value.get<double>();
   return numbers;
 }
--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -1,14 +1,15 @@
 #include "platform/configuration.h"
 
-#include <nlohmann/json.hpp>
 #include <tuple>
 
 #include "base/file.h"
+#include "base/json.h"
 #include "base/parse.h"
 
 namespace beamshunt::platform {
 namespace {
 
+using base::json_excerpt;
 using nlohmann::json;
 
 constexpr double kMaxDescriptorLimit = 1 << 20;  // above the descriptor limit of any process
@@ -21,8 +22,6 @@
                            {"", name, std::move(value), std::move(expected)});
 }
 
-std::string to_text(const json& value) { return value.dump(-1, ' ', false, json::error_handler_t::replace); }
-
 const json& required_field(const json& object, const char* name) {
   auto found = object.find(name);
   if (found == object.end()) fail_field(name, "is missing", "", "the field");
@@ -31,7 +30,7 @@
 
 std::string string_field(const json& object, const char* name) {
   const json& value = required_field(object, name);
-  if (!value.is_string()) fail_field(name, "is not a string", to_text(value), "a string");
+  if (!value.is_string()) fail_field(name, "is not a string", json_excerpt(value), "a string");
   return value.get<std::string>();
 }
 
@@ -54,7 +53,7 @@
   const json& limits = required_field(object, "limits");
   const json& count = limits.is_object() ? required_field(limits, "sockets") : limits;
   if (!count.is_number_integer() || count.get<double>() < 1 || count.get<double>() > kMaxDescriptorLimit)
-    fail_field("limits.sockets", "is not a valid number of descriptors", to_text(count),
+    fail_field("limits.sockets", "is not a valid number of descriptors", json_excerpt(count),
                "an integer from 1 to " + std::to_string(static_cast<int>(kMaxDescriptorLimit)));
   return count.get<std::size_t>();
 }
@@ -88,7 +87,8 @@
 }  // namespace
 
 Configuration parse_configuration(std::string_view bytes) {
-  json object = json::parse(bytes, nullptr, false);
+  const base::ParsedJson parsed = base::parse_json(bytes);
+  const json& object = parsed.value;
   if (!object.is_object())
     throw ConfigurationError("the configuration is not a JSON object", {.expected = "a JSON object"});
   Configuration configuration;
@@ -101,7 +101,10 @@
     configuration.cached_list = cached->dump();
   const json& settings_object = required_field(object, "settings");
   if (!settings_object.is_object())
-    fail_field("settings", "is not an object", to_text(settings_object), "an object");
+    fail_field("settings", "is not an object", json_excerpt(settings_object), "an object");
+  if (parsed.truncated_members.contains("settings"))
+    fail_field("settings", "is nested too deeply", json_excerpt(settings_object),
+               "at most " + std::to_string(base::kMaxJsonDepth) + " levels in the configuration");
   flatten(settings_object, "", configuration.values);
   try {
     std::tie(configuration.settings, configuration.names) =
--- a/src/platform/endpoint_catalog.cpp
+++ b/src/platform/endpoint_catalog.cpp
@@ -3,10 +3,11 @@
 #include <xxhash.h>
 
 #include <cmath>
-#include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
 
+#include "base/json.h"
+
 namespace beamshunt::platform {
 namespace {
 
@@ -65,7 +66,7 @@
 };
 
 ListObject parse_list(std::string_view bytes) {
-  ListObject list{.object = json::parse(bytes, nullptr, false)};
+  ListObject list{.object = base::parse_json(bytes).value};
   if (!list.object.is_object()) throw EndpointListError("the list is not a JSON object", "", "a JSON object");
   const json& object = list.object;
   auto targets = object.find("targets");
--- a/src/platform/message.cpp
+++ b/src/platform/message.cpp
@@ -4,14 +4,15 @@
 #include <array>
 #include <cmath>
 #include <limits>
-#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/json.h"
 #include "base/parse.h"
 
 namespace beamshunt::platform {
 namespace {
 
+using base::json_excerpt;
 using nlohmann::json;
 
 // Upper bounds of values in a report. A larger value is an error of the sender and would outweigh all other
@@ -35,14 +36,6 @@
   fail_message("field " + name + " " + problem, {name, std::move(value), std::move(expected)});
 }
 
-// Returns the value as JSON text, truncated because a peer may send a value of any size. For error details
-// only.
-std::string excerpt(const json& value) {
-  std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
-  if (text.size() > kMaxStringBytes) text.resize(kMaxStringBytes);
-  return text;
-}
-
 // Gives typed access to the fields of a message. The getters throw ProtocolError of scope `message` if the
 // field is missing or invalid.
 class MessageFields {
@@ -58,32 +51,34 @@
 
   [[nodiscard]] std::string string(const char* name) const {
     const json& value = at(name);
-    if (!value.is_string()) fail_field(name, "is no text", excerpt(value), "a string");
+    if (!value.is_string()) fail_field(name, "is no text", json_excerpt(value), "a string");
     auto text = value.get<std::string>();
     if (text.empty() || text.size() > kMaxStringBytes)
-      fail_field(name, "is empty or too long", excerpt(value),
+      fail_field(name, "is empty or too long", json_excerpt(value),
                  "1 to " + std::to_string(kMaxStringBytes) + " bytes");
     return text;
   }
 
   [[nodiscard]] double number(const char* name, double max) const {
     const json& value = at(name);
-    if (!value.is_number()) fail_field(name, "is no number", excerpt(value), "a number");
+    if (!value.is_number()) fail_field(name, "is no number", json_excerpt(value), "a number");
     auto number = value.get<double>();
     if (!std::isfinite(number) || number < 0 || number > max)
-      fail_field(name, "is out of range: " + value.dump(), excerpt(value), "0 to " + json(max).dump());
+      fail_field(name, "is out of range: " + value.dump(), json_excerpt(value), "0 to " + json(max).dump());
     return number;
   }
 
   [[nodiscard]] double integer(const char* name, double max) const {
     double value = number(name, max);
-    if (value != std::floor(value)) fail_field(name, "is no whole number", excerpt(at(name)), "an integer");
+    if (value != std::floor(value))
+      fail_field(name, "is no whole number", json_excerpt(at(name)), "an integer");
     return value;
   }
 
   [[nodiscard]] bool boolean(const char* name) const {
     const json& value = at(name);
-    if (!value.is_boolean()) fail_field(name, "is neither true nor false", excerpt(value), "true or false");
+    if (!value.is_boolean())
+      fail_field(name, "is neither true nor false", json_excerpt(value), "true or false");
     return value.get<bool>();
   }
 
@@ -146,11 +141,11 @@
 }
 
 LoadReport parse_load_metrics(const json& metrics) {
-  if (!metrics.is_object()) fail_field("metrics", "is no object", excerpt(metrics), "an object");
+  if (!metrics.is_object()) fail_field("metrics", "is no object", json_excerpt(metrics), "an object");
   LoadReport load;
   for (const auto& [name, value] : metrics.items()) {
     if (!value.is_number() || !is_valid_load_metric(value.get<double>()))
-      fail_field("metrics." + name.substr(0, kMaxStringBytes), "is unusable", excerpt(value),
+      fail_field("metrics." + name.substr(0, kMaxStringBytes), "is unusable", json_excerpt(value),
                  "0 to " + json(kMaxLoadMetric).dump());
     set_load_metric(load, name, value.get<double>());
   }
@@ -255,7 +250,7 @@
 }
 
 Message parse_message(std::string_view line, const settings::Names& names, int proxy_count) {
-  json object = json::parse(line, nullptr, false);
+  const json object = base::parse_json(line).value;
   // A line with complete braces may still be rejected by the parser, for example because of a number out of
   // range. The line boundaries are intact in that case, so only this message is lost.
   std::size_t last = line.find_last_not_of(" \t\r");
--- a/tests/assigner/parts_test.cpp
+++ b/tests/assigner/parts_test.cpp
@@ -142,6 +142,22 @@
   }
 }
 
+// Guards against a stack overflow while a value of the wrong type was quoted.
+TEST(EndpointListJson, DeeplyNestedValueIsRefusedWithItsFieldAndAShortExcerpt) {
+  constexpr std::size_t kLevels = 400000;
+  std::string nested = std::string(kLevels, '[') + std::string(kLevels, ']');
+  try {
+    std::ignore = parse_endpoint_list(
+        R"({"kind":"total","version":1,"entries":[{"id":1,"locality":"north","cell":0,"size":)" + nested +
+            "}]}",
+        {"north"});
+    FAIL() << "taken";
+  } catch (const EndpointListError& error) {
+    EXPECT_EQ(error.field(), "entries[0].size");
+    EXPECT_LE(error.value().size(), 256u);
+  }
+}
+
 TEST(ReportIntake, SumsByPairAndGivesTheLongestWaitingFirstAtItsPace) {
   ReportIntake intake(10);
   intake.release(0);
--- a/tests/platform/endpoint_catalog_test.cpp
+++ b/tests/platform/endpoint_catalog_test.cpp
@@ -72,6 +72,22 @@
   EXPECT_TRUE(catalog.address(*catalog.find("s-a"))) << "the previous address is kept";
 }
 
+// A value with 400,000 levels is one invalid value like any other: it must cost neither the process nor a drain.
+TEST_F(EndpointCatalogTest, DeeplyNestedValueAffectsNoOtherEntry) {
+  apply(four_endpoints());
+  json draining = endpoint_entry("s-a", "north", "terminating");
+  draining["capacity_hint"] = "@";
+  std::string bytes =
+      endpoint_list(6, false, {draining, endpoint_entry("s-b", "north", "terminating")}).dump();
+  constexpr std::size_t kLevels = 400000;
+  bytes.replace(bytes.find("\"@\""), 3, std::string(kLevels, '[') + std::string(kLevels, ']'));
+  auto change = catalog.apply(bytes, kNames, 0, 0);
+  EXPECT_EQ(state("s-a"), EndpointState::draining);
+  EXPECT_EQ(state("s-b"), EndpointState::draining);
+  ASSERT_EQ(change.errors.size(), 1u);
+  EXPECT_EQ(change.errors[0].field, "capacity_hint");
+}
+
 // Discovery restarts from an older state. Its changes are still valid.
 TEST_F(EndpointCatalogTest, LowerRevisionIsApplied) {
   apply(four_endpoints());
--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -90,6 +90,33 @@
   EXPECT_EQ(rejection("{\"t\":"), Scope::connection);
 }
 
+// Guards against a stack overflow: a value of the wrong type with 400,000 levels was quoted by a function that
+// calls itself for each level. Only its message is rejected, whichever field and kind of message it is in.
+TEST(Message, DeeplyNestedValueRejectsOnlyItsMessage) {
+  constexpr std::size_t kLevels = 400000;
+  std::string arrays = std::string(kLevels, '[') + std::string(kLevels, ']');
+  std::string objects;
+  for (std::size_t level = 0; level < kLevels / 4; ++level) objects += "{\"a\":";
+  objects += "1" + std::string(kLevels / 4, '}');
+  const std::string messages[] = {
+      R"({"t":@})",
+      R"({"t":"hello","node":1,"locality":"north","w":2,"cold":@})",
+      R"({"t":"ack","node":1,"nonce":@,"latency":2})",
+      R"({"t":"demand","node":1,"route":@,"total":5,"errors":1,"interval":500})",
+      R"({"t":"outcomes","locality":"north","endpoint":"s","total":@,"errors":0,"rtt":3,"interval":500})",
+      R"({"t":"outcomes","locality":"north","endpoint":"s","total":1,"errors":0,"rtt":3,"interval":500,"metrics":@})",
+      R"({"t":"outcomes","locality":"north","endpoint":"s","total":1,"errors":0,"rtt":3,"interval":500,)"
+      R"("metrics":{"util":@}})"};
+  for (const std::string& message : messages)
+    for (const std::string& nested : {arrays, objects}) {
+      std::string line = message;
+      line.replace(line.find('@'), 1, nested);
+      EXPECT_EQ(rejection(line), Scope::message) << message;
+    }
+  // A field that no message has is ignored, whatever its value.
+  EXPECT_FALSE(rejection(R"({"t":"probe","odd":)" + arrays + "}"));
+}
+
 TEST(LineReader, ReturnsTheSameLinesForChunksOfAnySize) {
   std::string bytes = "{\"a\":1}\n\r\n  {}\n{\"b\":[2]}\n{\"un";
   std::vector<std::string> expected_lines;
--- a/tests/platform/service_test.cpp
+++ b/tests/platform/service_test.cpp
@@ -93,8 +93,9 @@
     config["discovery"] = net::to_string(discovery.server.address());
   }
   void write_configuration(const std::string& bytes) { base::replace_file(path_prefix + ".json", bytes); }
-  void start(const std::string& log = {}) {
-    write_configuration(config.dump());
+  void start(const std::string& log = {}) { start_with_bytes(config.dump(), log); }
+  void start_with_bytes(const std::string& configuration_bytes, const std::string& log = {}) {
+    write_configuration(configuration_bytes);
     ::setenv("BALANCER_CONFIG", (path_prefix + ".json").c_str(), 1);
     child = std::make_unique<process::Child>("/bin/sh",
                                              std::vector<std::string>{"-c", "ulimit -n 256; " + run_command},
@@ -326,6 +327,39 @@
   EXPECT_FALSE(proxy->closed);
 }
 
+// Guards against a crash: one message of 800 kB whose field is nested 400,000 levels deep ended the process.
+// The message is dropped, and its peer and all others are served.
+TEST_F(PlatformProcess, DeeplyNestedValueInAReportEndsNeitherTheProcessNorAStream) {
+  auto proxy = start_with_one_proxy();
+  constexpr std::size_t kLevels = 400000;
+  proxy->connection->send(R"({"t":"demand","node":0,"route":"buy","errors":0,"interval":500,"total":)" +
+                          std::string(kLevels, '[') + std::string(kLevels, ']') + "}\n");
+  proxy->send({{"t", "probe"}});
+  wait_until("the answer to the message after it", [&] { return !proxy->received("alive").empty(); });
+  EXPECT_FALSE(child->has_exited());
+  EXPECT_FALSE(proxy->closed);
+  wait_until("a log line that names the field", [&] {
+    return base::read_file(path_prefix + ".log").value_or("").find("field total is no number") !=
+           std::string::npos;
+  });
+}
+
+// The list that the process last received comes back in its configuration, with a deeply nested value in one
+// entry. The process starts and uses the other entries.
+TEST_F(PlatformProcess, DeeplyNestedValueInTheCachedListDoesNotPreventTheStart) {
+  discovery.delay_responses = true;
+  json entry = endpoint_entry("s-e", "north");
+  entry["model"] = "@";
+  config["known"]["targets"].push_back(entry);
+  std::string bytes = config.dump();
+  constexpr std::size_t kLevels = 400000;
+  bytes.replace(bytes.find("\"@\""), 3, std::string(kLevels, '[') + std::string(kLevels, ']'));
+  start_with_bytes(bytes);
+  wait_until("alive", [&] { return is_serving(); });
+  auto proxy = register_proxy(0);
+  wait_until("a table", [&] { return proxy->has_endpoint("s-a") && proxy->has_endpoint("s-e"); });
+}
+
 // A required setting is missing. The process names it and exits with the code for unusable input.
 TEST_F(PlatformProcess, InvalidConfigurationIsReportedAndEndsTheProcess) {
   config["settings"]["family_info"].erase("agents");
