Ignore reports whose figures cannot be true: one emptied later proxies' tables

Infinite times 0 made the path's rate, then the mean slowdown and all weight adjustments not-a-number, for good. Such a weight never counts as changed, so new tables got no rows.

Change: policy/report_validation states the bounds of reported figures, and the controller ignores a report outside them, whichever host passes it on. The platform's and the native protocol refuse such figures with field, value and bounds. The same cause elsewhere: latencies, demand, utilization, announced rates, listed capacities and settings beyond any use; 0 / 0 in slow start without a warm-up time and in the balance of tables without weights; rows of small weights that were never written.

--- a/src/native_protocol/frames.cpp
+++ b/src/native_protocol/frames.cpp
@@ -71,6 +71,9 @@
 namespace {
 
 constexpr double kMaxReportIntervalMs = 3600e3;  // longer intervals hide the current load
+constexpr double kMinLatencyMs = 0.001;          // shorter than any request over a network
+constexpr double kMaxLatencyMs = 3600e3;         // longer than any deadline
+constexpr double kMaxExpectedRate = 1e6;         // requests per second; above any machine's capacity
 constexpr std::uint8_t kMaxRetryMode = 3;        // two retries
 
 // The overloads of validation_error() check the rules that the field types do not enforce.
@@ -78,12 +81,15 @@
   if (hello.magic != kMagic) return "not this protocol: the magic number differs";
   if (!(hello.expected_rate >= 0) || std::isinf(hello.expected_rate))
     return "a usual rate below 0 or not finite";
+  if (hello.expected_rate > kMaxExpectedRate) return "a usual rate over a million a second";
   return nullptr;
 }
 const char* validation_error(const PeerHello& hello) {
   return hello.magic != kMagic ? "not this protocol: the magic number differs" : nullptr;
 }
 bool is_finite_and_non_negative(double value) { return std::isfinite(value) && value >= 0; }
+// A latency of 0 means that there is none.
+bool is_latency(double ms) { return ms == 0 || (ms >= kMinLatencyMs && ms <= kMaxLatencyMs); }
 const char* validation_error(const Welcome& welcome) {
   return is_finite_and_non_negative(welcome.heartbeat_ms) &&
                  is_finite_and_non_negative(welcome.report_period_ms)
@@ -111,6 +117,7 @@
   for (const EndpointReportEntry& entry : report.endpoints) {
     if (entry.failed > entry.attempts) return "more failed tries than tries";
     if (!is_finite_and_non_negative(entry.mean_latency_ms)) return "a latency below 0 or not finite";
+    if (!is_latency(entry.mean_latency_ms)) return "a latency under a microsecond or over an hour";
     for (auto& [name, value] : entry.load)
       if (!std::isfinite(value)) return "a load figure that is not finite";
   }
--- a/src/platform/endpoint_catalog.cpp
+++ b/src/platform/endpoint_catalog.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kMaxUidBytes = 256;        // bytes; uids are part of every update message
 constexpr double kMaxRevision = 9e15;            // a double represents all integers up to this value exactly
 constexpr double kMaxCell = 4e9;                 // cell numbers have 32 bits
+constexpr double kMinCapacity = 1e-6;            // relative capacity; smaller values are implausible
 constexpr double kMaxCapacity = 1e6;             // relative capacity; larger values are implausible
 constexpr double kMaxWallMs = 1e14;              // ms since 1970; later times are implausible
 constexpr std::size_t kMaxReportedErrors = 100;  // errors reported per list object; each becomes a log line
@@ -174,7 +175,7 @@
   else add_error(change, wire.uid, "pod_group");
 
   auto capacity = number_field(wire.object, "capacity_hint", kMaxCapacity);
-  if (capacity && *capacity > 0) entry.listed.capacity = *capacity;
+  if (capacity && *capacity >= kMinCapacity) entry.listed.capacity = *capacity;
   else add_error(change, wire.uid, "capacity_hint");
 
   auto address = net::parse_address(string_field(wire.object, "endpoint").value_or(""));
--- a/src/platform/message.cpp
+++ b/src/platform/message.cpp
@@ -8,6 +8,7 @@
 
 #include "base/json.h"
 #include "base/parse.h"
+#include "policy/report_validation.h"
 
 namespace beamshunt::platform {
 namespace {
@@ -17,10 +18,8 @@
 
 // Upper bounds of values in a report. A larger value is an error of the sender and would outweigh all other
 // reports together.
-constexpr double kMaxAttempts = 1e7;  // attempts or requests per report; above any proxy's rate
-constexpr Ms kMaxDuration = 600000;   // ms covered by a report or taken by an attempt; far above any deadline
-constexpr double kMaxExpectedRate = 1e6;  // requests per second of one proxy; above any machine's capacity
-constexpr double kMaxLoadMetric = 1e9;    // any metric of a load report; above any value in the units in use
+constexpr Ms kMaxDuration = 600000;  // ms covered by a report or taken by an attempt; far above any deadline
+constexpr double kMaxLoadMetric = 1e9;  // any metric of a load report; above any value in the units in use
 constexpr std::size_t kMaxStringBytes = 256;       // bytes of a name; bounds logged and returned text
 constexpr std::size_t kMaxIdleBufferBytes = 4096;  // buffer capacity of an idle reader; one per connection
 
@@ -82,13 +81,21 @@
     return value.get<bool>();
   }
 
-  // Returns the time covered by a report, in ms. It is positive because rates are divided by it.
+  // Returns the time covered by a report, in ms. Rates are divided by it.
   [[nodiscard]] Ms interval() const {
     Ms interval = number("interval", kMaxDuration);
-    if (interval <= 0) fail_field("interval", "is 0", "0", "a positive number of ms");
+    if (interval < kMinReportInterval.count()) fail_too_short("interval", interval, kMinReportInterval);
     return interval;
   }
 
+  // Returns the mean latency of the successful attempts, in ms; 0 if there is none.
+  [[nodiscard]] Ms mean_latency() const {
+    Ms latency = number("rtt", kMaxDuration);
+    if (latency > 0 && latency < kMinReportedLatency.count())
+      fail_too_short("rtt", latency, kMinReportedLatency);
+    return latency;
+  }
+
   [[nodiscard]] Locality locality(const settings::Names& names) const {
     std::string name = string("locality");
     try {
@@ -110,6 +117,12 @@
   [[nodiscard]] ProxyId proxy(int proxy_count) const { return ProxyId(integer("node", proxy_count - 1)); }
 
  private:
+  [[noreturn]] static void fail_too_short(const char* name, Ms value, Duration min) {
+    std::string text = json(value).dump();
+    fail_field(name, "is out of range: " + text, text,
+               json(min.count()).dump() + " to " + json(kMaxDuration).dump());
+  }
+
   const json& object_;
 };
 
@@ -156,11 +169,10 @@
   EndpointReportMessage report;
   report.source_locality = fields.locality(names);
   report.uid = fields.string("endpoint");
-  report.attempts = fields.integer("total", kMaxAttempts);
+  report.attempts = fields.integer("total", kMaxReportedAttempts);
   report.failed = fields.integer("errors", report.attempts);
   // Without a successful attempt there is no mean latency, so the field is optional.
-  if (report.failed < report.attempts || fields.has("rtt"))
-    report.mean_latency = fields.number("rtt", kMaxDuration);
+  if (report.failed < report.attempts || fields.has("rtt")) report.mean_latency = fields.mean_latency();
   report.interval = fields.interval();
   if (fields.has("metrics") && !fields.at("metrics").is_null())
     report.load = parse_load_metrics(fields.at("metrics"));
@@ -172,9 +184,9 @@
   DemandReportMessage report;
   report.proxy = fields.proxy(proxy_count);
   report.request_class = fields.request_class(names);
-  report.arrivals = fields.integer("total", kMaxAttempts);
+  report.arrivals = fields.integer("total", kMaxReportedAttempts);
   // May exceed `arrivals`, because a request may fail in a later interval than the one in which it arrived.
-  report.failed = fields.integer("errors", kMaxAttempts);
+  report.failed = fields.integer("errors", kMaxReportedAttempts);
   report.interval = fields.interval();
   return report;
 }
--- a/src/policy/controller.cpp
+++ b/src/policy/controller.cpp
@@ -16,6 +16,7 @@
 #include "policy/locality_spillover.h"
 #include "policy/outlier_detector.h"
 #include "policy/proxy_registry.h"
+#include "policy/report_validation.h"
 #include "policy/retry_policy.h"
 #include "policy/shard_assignment.h"
 #include "policy/slow_start.h"
@@ -42,7 +43,7 @@
   void apply(const EndpointList& event);
   void apply(const EndpointReport& event);
   void apply(const HealthCheckResult& event);
-  void apply(const DemandReport& event) { proxy_registry.apply(event); }
+  void apply(const DemandReport& event);
   void apply(const ProxyRegistered& event);
   void apply(const ProxyDisconnected& event);
   void apply(const UpdateAcknowledged& event) { budget.acknowledge(event.proxy, event.sequence_number); }
@@ -129,6 +130,7 @@
 }
 
 void Controller::State::apply(const EndpointReport& event) {
+  if (!is_valid(event)) return;
   auto found = endpoint_registry.endpoints().find(event.endpoint);
   if (found != endpoint_registry.endpoints().end()) estimator.apply(event, found->second, now);
 }
@@ -140,6 +142,10 @@
   OutlierDetector::apply(event, found->second);
 }
 
+void Controller::State::apply(const DemandReport& event) {
+  if (is_valid(event)) proxy_registry.apply(event);
+}
+
 void Controller::State::apply(const ProxyRegistered& event) {
   Proxy proxy = proxy_registry.make_proxy(event);
   apply(ProxyDisconnected{event.proxy});  // a new stream replaces the previous one
--- a/src/policy/endpoint_registry.cpp
+++ b/src/policy/endpoint_registry.cpp
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "policy/id_hash.h"
+#include "policy/report_validation.h"
 
 namespace beamshunt {
 namespace {
@@ -57,7 +58,7 @@
   auto [found, is_new] = endpoints_.try_emplace(entry.id);
   Endpoint& endpoint = found->second;
   if (is_new) {
-    auto learned = relative_capacities.find(entry.capacity);
+    auto learned = relative_capacities.find(bounded_capacity(entry.capacity));
     if (learned != relative_capacities.end()) endpoint.relative_capacity = learned->second;
   }
   // After a restart under the same id, the health data is invalid but the learned capacity still applies.
@@ -68,6 +69,7 @@
       entry.start_time_known && (!previous.start_time_known || previous.start_time != entry.start_time);
   if (restarted) endpoint = endpoint.after_restart();
   endpoint.listed = entry;
+  endpoint.listed.capacity = bounded_capacity(entry.capacity);
 }
 
 void EndpointRegistry::schedule_resubscription(Time now) {
--- a/src/policy/load_estimator.cpp
+++ b/src/policy/load_estimator.cpp
@@ -93,7 +93,7 @@
 
 void LoadEstimator::apply_load_report(const LoadReport& report, Endpoint& endpoint) {
   auto utilization = report.find("utilization");
-  if (utilization == report.end()) return;
+  if (utilization == report.end() || !std::isfinite(utilization->second)) return;
   double sample = std::clamp(utilization->second, 0.0, 1.0);
   smooth(endpoint.utilization, sample, kRateSmoothing, endpoint.utilization < 0);
   endpoint.periods_since_load_report = 0;
--- a/src/policy/proxy_registry.cpp
+++ b/src/policy/proxy_registry.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "policy/report_validation.h"
 #include "policy/smoothing.h"
 #include "policy/subsetter.h"
 
@@ -22,7 +23,7 @@
 Proxy ProxyRegistry::make_proxy(const ProxyRegistered& event) const {
   Proxy proxy;
   proxy.expected_rate = event.expected_rate;
-  if (proxy.expected_rate <= 0) {
+  if (!is_known_rate(event.expected_rate)) {
     double sum = 0;
     for (const auto& [id, other] : proxies_) sum += other.expected_rate;
     proxy.expected_rate = sum > 0 ? sum / static_cast<double>(proxies_.size()) : kDefaultRate;
--- a/src/policy/slow_start.cpp
+++ b/src/policy/slow_start.cpp
@@ -18,6 +18,7 @@
 double SlowStart::factor(const Endpoint& endpoint, Time now) const {
   double initial = settings_.initial_capacity;
   auto linear_ramp = [&](Time since, Duration duration) {
+    if (now - since >= duration) return 1.0;  // also without a warm-up time, where the quotient is undefined
     return std::clamp(initial + (1 - initial) * ((now - since) / duration), 0.0, 1.0);
   };
   double since_readmission =
--- a/src/policy/subsetter.cpp
+++ b/src/policy/subsetter.cpp
@@ -139,6 +139,7 @@
   for (const WeightedTable& table : tables) {
     double sum = 0;
     for (const auto& [id, weight] : *table.weights) sum += weight;
+    if (sum <= 0) continue;  // the shares of its endpoints are undefined
     for (const auto& [id, weight] : *table.weights) load[id] += table.admitted * weight / sum;
   }
   std::map<Locality, double> locality_load;
@@ -150,10 +151,10 @@
   }
   for (const WeightedTable& table : tables) {
     for (auto& [id, weight] : *table.weights) {
-      bool loaded = load[id] > 0;  // false also for a table in which all weights are 0
-      if (!loaded) continue;
+      if (load[id] <= 0) continue;
       const Endpoint& endpoint = fleet.endpoints.at(id);
       Locality locality = endpoint.listed.locality;
+      if (locality_target[locality] <= 0) continue;
       weight *= target_load(endpoint, fleet) / locality_target[locality] * locality_load[locality] / load[id];
     }
   }
--- a/src/policy/update_scheduler.cpp
+++ b/src/policy/update_scheduler.cpp
@@ -144,8 +144,11 @@
   for (const auto& [id, weight] : table.desired) {
     if (is_full(update, request)) return;
     auto found = table.published.find(id);
-    double published = found == table.published.end() ? 0 : found->second;
-    if (!has_changed(published, weight)) continue;
+    bool is_missing = found == table.published.end();
+    double published = is_missing ? 0 : found->second;
+    // However small its weight is, a missing entry is written: a table of small weights must not stay empty.
+    bool due = is_missing ? weight > 0 : has_changed(published, weight);
+    if (!due) continue;
     if (request.kind == UpdateKind::priority) {
       bool has_half_of_entries = 2 * table.published.size() >= table.desired.size();
       bool may_replace = removed && !(request.has_unassigned_proxies && has_half_of_entries);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -14,6 +14,10 @@
   throw InputError(subject, "is not among the settings", name);
 }
 
+// Bounds of a setting that is not 0, in its unit; beyond them quotients of settings would be infinite.
+constexpr double kMinNumber = 1e-9;
+constexpr double kMaxNumber = 1e15;
+
 // Reads typed values by path. Each method throws InputError, with the path, if the setting is missing or its
 // value is not of the type; the methods with a default return that for a missing setting.
 class SettingsReader {
@@ -33,6 +37,8 @@
     auto [end, error] = std::from_chars(word.data(), word.data() + word.size(), value);
     if (error != std::errc{} || end != word.data() + word.size() || !std::isfinite(value) || value < 0)
       throw InputError("setting " + key, "is not a number of 0 or more", word);
+    if (value != 0 && (value < kMinNumber || value > kMaxNumber))
+      throw InputError("setting " + key, "is out of range", word);
     return value;
   }
   double number_or(const std::string& key, double default_value) const {
--- a/tests/native_protocol/frames_test.cpp
+++ b/tests/native_protocol/frames_test.cpp
@@ -74,10 +74,13 @@
 TEST(Frames, InvalidValuesAreRejected) {
   const Frame kInvalidFrames[] = {Hello{.expected_rate = -1},
                                   Hello{.expected_rate = NAN},
+                                  Hello{.expected_rate = 1e300},
                                   UpdateMessage{1, 0, 1, {WeightUpdate{.weight = -0.5}}},
                                   UpdateMessage{1, 0, 1, {AdmissionLimitUpdate{.limit = INFINITY}}},
                                   UpdateMessage{1, 0, 1, {AdmissionLimitUpdate{.retry_mode = 4}}},
                                   LoadReportMessage{1, 250, {{1, 1, 2, 0, {}}}, {}},
+                                  LoadReportMessage{1, 250, {{1, 1, 0, 1e-310, {}}}, {}},
+                                  LoadReportMessage{1, 250, {{1, 1, 0, 1e300, {}}}, {}},
                                   LoadReportMessage{1, -1, {}, {}},
                                   LoadReportMessage{1, 250, {{1, 1, 0, 1, {{"utilization", NAN}}}}, {}},
                                   LoadReportMessage{1, 3600001, {}, {}},
--- a/tests/platform/endpoint_catalog_test.cpp
+++ b/tests/platform/endpoint_catalog_test.cpp
@@ -72,6 +72,18 @@
   EXPECT_TRUE(catalog.address(*catalog.find("s-a"))) << "the previous address is kept";
 }
 
+// A capacity that no other can be compared with would make quotients of capacities infinite.
+TEST_F(EndpointCatalogTest, CapacityOutOfRangeIsInvalidAndThePreviousOneStays) {
+  json entry = endpoint_entry("s-a", "north");
+  entry["capacity_hint"] = 3.0;
+  apply(endpoint_list(5, true, {entry}));
+  for (double capacity : {0.0, 1e-310, 1e-12, 1e9, 1e300}) {
+    entry["capacity_hint"] = capacity;
+    EXPECT_EQ(apply(endpoint_list(6, false, {entry})).errors.size(), 1u) << capacity;
+    EXPECT_EQ(catalog.listed()[0].capacity, 3.0) << capacity;
+  }
+}
+
 // A value with 400,000 levels is one invalid value like any other: it must cost neither the process nor a drain.
 TEST_F(EndpointCatalogTest, DeeplyNestedValueAffectsNoOtherEntry) {
   apply(four_endpoints());
--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -78,6 +78,18 @@
       }
     }
   }
+  // A time that is positive but too short to be measured is as impossible as a negative one.
+  for (const char* tiny : {"1e-310", "5e-324", "1e-20"}) {
+    auto outcomes = [&](const std::string& latency, const std::string& interval) {
+      return R"({"t":"outcomes","locality":"north","endpoint":"s","total":5,"errors":0,"rtt":)" + latency +
+             R"(,"interval":)" + interval + "}";
+    };
+    EXPECT_EQ(rejection(outcomes(tiny, "500")), Scope::message);
+    EXPECT_EQ(rejection(outcomes("3", tiny)), Scope::message);
+    EXPECT_EQ(rejection(R"({"t":"demand","node":1,"route":"buy","total":5,"errors":0,"interval":)" +
+                        std::string(tiny) + "}"),
+              Scope::message);
+  }
   // Requests may fail in a later interval than the one in which they arrive, so failures may exceed arrivals.
   // An attempt is counted in the interval in which it ends, so failures may not exceed attempts.
   EXPECT_FALSE(rejection(R"({"t":"demand","node":1,"route":"buy","total":1,"errors":2,"interval":500})"));
--- a/tests/platform/service_test.cpp
+++ b/tests/platform/service_test.cpp
@@ -360,6 +360,29 @@
   wait_until("a table", [&] { return proxy->has_endpoint("s-a") && proxy->has_endpoint("s-e"); });
 }
 
+// Guards against empty tables: after one report with an interval of 1e-310 ms, proxies that registered later
+// in another locality had no endpoint to send to until the process ended.
+TEST_F(PlatformProcess, ImpossibleIntervalInAReportLeavesTablesForProxiesThatRegisterLater) {
+  auto north = start_with_one_proxy();
+  auto collector = std::make_unique<Peer>(reactor, listen);
+  collector->send({{"t", "agent"}, {"locality", "north"}});
+  json report = {{"t", "outcomes"}, {"locality", "north"}, {"total", 50},
+                 {"errors", 0},     {"rtt", 40.0},         {"interval", 500.0}};
+  for (const char* uid : {"s-a", "s-b", "s-c", "s-d"}) {
+    report["endpoint"] = uid;
+    collector->send(report);
+  }
+  report["interval"] = 1e-310;
+  collector->send(report);
+  // The weights are computed once per second.
+  const Ms sent_at = reactor.now();
+  wait_until("two steps", [&] { return reactor.now() > sent_at + 2500; });
+  auto south = std::make_unique<Peer>(reactor, listen);
+  south->send({{"t", "hello"}, {"node", 1}, {"locality", "south"}, {"w", 20.0}, {"cold", true}});
+  wait_until("a table", [&] { return south->has_endpoint("s-c") && south->has_endpoint("s-d"); });
+  EXPECT_FALSE(collector->closed);
+}
+
 // A required setting is missing. The process names it and exits with the code for unusable input.
 TEST_F(PlatformProcess, InvalidConfigurationIsReportedAndEndsTheProcess) {
   config["settings"]["family_info"].erase("agents");
--- a/tests/policy/slow_start_test.cpp
+++ b/tests/policy/slow_start_test.cpp
@@ -47,6 +47,16 @@
   EXPECT_DOUBLE_EQ(SlowStart(kSettings).factor(running, Time(Duration(100000))), 1);
 }
 
+// Without a warm-up time, the quotient of elapsed and warm-up time at the start is 0 / 0.
+TEST(SlowStartFactor, IsOneFromTheStartWithoutAWarmUpTime) {
+  Settings settings = kSettings;
+  settings.warm_up_time = Duration(0);
+  Endpoint starting = started_at(100000);
+  starting.readmitted_at = Time(Duration(100000));
+  EXPECT_EQ(SlowStart(settings).factor(starting, Time(Duration(100000))), 1);
+  EXPECT_EQ(SlowStart(settings).factor(starting, Time(Duration(100001))), 1);
+}
+
 // An ejected endpoint may have restarted without a new start time in the endpoint list.
 TEST(SlowStartFactor, GrowsOverHalfTheWarmUpTimeAfterReadmission) {
   Endpoint readmitted = started_at(0);
--- a/tests/simulator_adapter/adapter_test.cpp
+++ b/tests/simulator_adapter/adapter_test.cpp
@@ -159,6 +159,16 @@
   }
 }
 
+// A number that is too small or too large would make quotients of settings infinite.
+TEST(MalformedInput, ASettingOutOfRangeIsReportedByItsPath) {
+  for (std::string value : {"1e-310", "1e300"}) {
+    std::string input = kStart;
+    std::size_t from = input.find("guarantees.warm_up=") + std::string("guarantees.warm_up=").size();
+    input.replace(from, input.find(' ', from) - from, value);
+    EXPECT_EQ(run(input).error, "setting guarantees.warm_up is out of range: '" + value + "'");
+  }
+}
+
 // Input that is truncated or corrupted at any byte must be accepted or rejected with a one-line message, and
 // must never crash the adapter.
 TEST(MalformedInput, CorruptedBatchesNeverCrash) {
