--- a/tests/platform/endpoint_catalog_test.cpp
+++ b/tests/platform/endpoint_catalog_test.cpp
@@ -84,7 +84,7 @@
   }
 }
 
-// A value with 400,000 levels is one invalid value like any other: it must cost neither the process nor a drain.
+// A value with 400,000 levels is one invalid value like any other: it costs neither the process nor a drain.
 TEST_F(EndpointCatalogTest, DeeplyNestedValueAffectsNoOtherEntry) {
   apply(four_endpoints());
   json draining = endpoint_entry("s-a", "north", "terminating");
--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -102,8 +102,8 @@
   EXPECT_EQ(rejection("{\"t\":"), Scope::connection);
 }
 
-// Guards against a stack overflow: a value of the wrong type with 400,000 levels was quoted by a function that
-// calls itself for each level. Only its message is rejected, whichever field and kind of message it is in.
+// Guards against a stack overflow: a value of the wrong type with 400,000 levels was quoted by a function
+// that calls itself for each level. Only its message is rejected, whichever field and message it is in.
 TEST(Message, DeeplyNestedValueRejectsOnlyItsMessage) {
   constexpr std::size_t kLevels = 400000;
   std::string arrays = std::string(kLevels, '[') + std::string(kLevels, ']');
@@ -116,7 +116,8 @@
       R"({"t":"ack","node":1,"nonce":@,"latency":2})",
       R"({"t":"demand","node":1,"route":@,"total":5,"errors":1,"interval":500})",
       R"({"t":"outcomes","locality":"north","endpoint":"s","total":@,"errors":0,"rtt":3,"interval":500})",
-      R"({"t":"outcomes","locality":"north","endpoint":"s","total":1,"errors":0,"rtt":3,"interval":500,"metrics":@})",
+      R"({"t":"outcomes","locality":"north","endpoint":"s","total":1,"errors":0,"rtt":3,"interval":500,)"
+      R"("metrics":@})",
       R"({"t":"outcomes","locality":"north","endpoint":"s","total":1,"errors":0,"rtt":3,"interval":500,)"
       R"("metrics":{"util":@}})"};
   for (const std::string& message : messages)
