Bound what recurses on settings, patterns and queries: long chains overflowed the stack

`beamshunt config check` ended by a stack overflow on a chain of 50,000 names and on a locality's name of 500,000 bytes (the standard library's regular expressions take stack space for each byte of text); `alerts check` on an expression of 200,000 operators; an experiment on a setting of 500,000 bytes. Settings also come as versions from the control service, so a peer could end the native assigner.

Change: a value may be reached through 500 levels of names and nesting; regular expressions stand once, in base/pattern, with patterns and texts of 1,024 bytes at most; a query has 500 operators at most. Each is refused with its place.

Measured: before the change the config check and the query crashed in the build with sanitizers, the test of Config in a plain build and that of Experiment with sanitizers; after it the tests of Pattern, Json, Config, PromQl, Rules (26) and Experiment.BadFiles... pass with sanitizers.

--- a/src/alerts/promql.cpp
+++ b/src/alerts/promql.cpp
@@ -7,11 +7,11 @@
 #include <cmath>
 #include <functional>
 #include <optional>
-#include <regex>
 #include <tao/pegtl.hpp>
 #include <tao/pegtl/contrib/limit_depth.hpp>
 #include <tao/pegtl/contrib/parse_tree.hpp>
 
+#include "base/pattern.h"
 #include "telemetry/exporter.h"
 
 namespace beamshunt::alerts {
@@ -112,73 +112,86 @@
   for (std::size_t k = first; k < tree.children.size(); ++k) out.labels.insert(tree.children[k]->string());
 }
 
-ExprPtr build(const Tree& tree) {
-  auto out = std::make_shared<Expr>();
-  if (tree.is_type<grammar::number>()) {
-    out->kind = Expr::Kind::number;
-    std::string text = tree.string();
-    std::from_chars(text.data(), text.data() + text.size(), out->number);
-    return out;
-  }
-  if (tree.is_type<grammar::selector>()) {
-    out->kind = Expr::Kind::selector;
-    for (auto& part : tree.children) {
-      if (part->is_type<grammar::name>()) out->selector.metric = part->string();
-      else if (part->is_type<grammar::duration>()) out->range_ms = *parse_duration(part->string_view());
-      else
-        out->selector.matchers.push_back(
-            {part->children[0]->string(), part->children[1]->string(), part->children[2]->string()});
+// Builds the expression of a query from its parse tree. Each operator is a level of the expression, which is
+// evaluated level by level, so their number is bounded.
+class ExprBuilder {
+ public:
+  ExprPtr build(const Tree& tree) {
+    auto out = std::make_shared<Expr>();
+    if (tree.is_type<grammar::number>()) {
+      out->kind = Expr::Kind::number;
+      std::string text = tree.string();
+      std::from_chars(text.data(), text.data() + text.size(), out->number);
+      return out;
     }
-    return out;
-  }
-  if (tree.is_type<grammar::call>()) {
-    out->kind = Expr::Kind::call;
-    out->name = tree.children[0]->string();
-    for (std::size_t k = 1; k < tree.children.size(); ++k) out->parts.push_back(build(*tree.children[k]));
-    bool ranged = out->name != "absent";
-    bool fits = out->parts.size() == 1 && out->parts[0]->kind == Expr::Kind::selector &&
-                (out->parts[0]->range_ms > 0) == ranged;
-    if (!fits)
-      throw QueryError(fmt::format("column {}: {} takes one selector {} a range", tree.begin().column,
-                                   out->name, ranged ? "with" : "without"));
-    return out;
-  }
-  if (tree.is_type<grammar::aggregate>()) {
-    out->kind = Expr::Kind::aggregate;
-    for (auto& part : tree.children) {
-      if (part->is_type<grammar::aggregator>()) {
-        out->name = part->string();
-      } else if (part->is_type<grammar::grouping>()) {
-        out->grouped = true;
-        out->without = part->children[0]->string_view() == "without";
-        read_labels(*part, 1, *out);
-      } else {
-        out->parts.push_back(build(*part));
+    if (tree.is_type<grammar::selector>()) {
+      out->kind = Expr::Kind::selector;
+      for (auto& part : tree.children) {
+        if (part->is_type<grammar::name>()) out->selector.metric = part->string();
+        else if (part->is_type<grammar::duration>()) out->range_ms = *parse_duration(part->string_view());
+        else
+          out->selector.matchers.push_back(
+              {part->children[0]->string(), part->children[1]->string(), part->children[2]->string()});
       }
+      return out;
     }
-    if (out->parts.size() != (out->name == "quantile" ? 2u : 1u))
-      throw QueryError(
-          fmt::format("column {}: {} has too few or too many arguments", tree.begin().column, out->name));
-    return out;
-  }
-  // A chain of one level's operators, left to right.
-  ExprPtr left = build(*tree.children[0]);
-  for (std::size_t k = 1; k < tree.children.size();) {
-    auto next = std::make_shared<Expr>();
-    next->kind = Expr::Kind::binary;
-    next->name = tree.children[k++]->string();
-    if (tree.children[k]->is_type<grammar::bool_word>()) next->as_bool = true, ++k;
-    if (tree.children[k]->is_type<grammar::matching>()) {
-      next->matched = true;
-      next->on = tree.children[k]->children[0]->string_view() == "on";
-      read_labels(*tree.children[k], 1, *next);
-      ++k;
+    if (tree.is_type<grammar::call>()) {
+      out->kind = Expr::Kind::call;
+      out->name = tree.children[0]->string();
+      for (std::size_t k = 1; k < tree.children.size(); ++k) out->parts.push_back(build(*tree.children[k]));
+      bool ranged = out->name != "absent";
+      bool fits = out->parts.size() == 1 && out->parts[0]->kind == Expr::Kind::selector &&
+                  (out->parts[0]->range_ms > 0) == ranged;
+      if (!fits)
+        throw QueryError(fmt::format("column {}: {} takes one selector {} a range", tree.begin().column,
+                                     out->name, ranged ? "with" : "without"));
+      return out;
     }
-    next->parts = {left, build(*tree.children[k++])};
-    left = next;
+    if (tree.is_type<grammar::aggregate>()) {
+      out->kind = Expr::Kind::aggregate;
+      for (auto& part : tree.children) {
+        if (part->is_type<grammar::aggregator>()) {
+          out->name = part->string();
+        } else if (part->is_type<grammar::grouping>()) {
+          out->grouped = true;
+          out->without = part->children[0]->string_view() == "without";
+          read_labels(*part, 1, *out);
+        } else {
+          out->parts.push_back(build(*part));
+        }
+      }
+      if (out->parts.size() != (out->name == "quantile" ? 2u : 1u))
+        throw QueryError(
+            fmt::format("column {}: {} has too few or too many arguments", tree.begin().column, out->name));
+      return out;
+    }
+    // A chain of one level's operators, left to right.
+    ExprPtr left = build(*tree.children[0]);
+    for (std::size_t k = 1; k < tree.children.size();) {
+      if (++operators_ > kMaxOperators)
+        throw QueryError(fmt::format("column {}: more than {} operators", tree.children[k]->begin().column,
+                                     kMaxOperators));
+      auto next = std::make_shared<Expr>();
+      next->kind = Expr::Kind::binary;
+      next->name = tree.children[k++]->string();
+      if (tree.children[k]->is_type<grammar::bool_word>()) next->as_bool = true, ++k;
+      if (tree.children[k]->is_type<grammar::matching>()) {
+        next->matched = true;
+        next->on = tree.children[k]->children[0]->string_view() == "on";
+        read_labels(*tree.children[k], 1, *next);
+        ++k;
+      }
+      next->parts = {left, build(*tree.children[k++])};
+      left = next;
+    }
+    return left;
   }
-  return left;
-}
+
+ private:
+  static constexpr std::size_t kMaxOperators = 500;
+
+  std::size_t operators_ = 0;
+};
 
 bool matches(const Selector& s, const Labels& labels) {
   if (label_of(labels, kName) != s.metric) return false;
@@ -186,7 +199,11 @@
     const std::string& value = label_of(labels, m.name);
     if (m.op == "=") return value == m.value;
     if (m.op == "!=") return value != m.value;
-    return std::regex_match(value, std::regex(m.value)) == (m.op == "=~");
+    try {
+      return base::is_match(value, m.value) == (m.op == "=~");
+    } catch (const base::PatternError& error) {
+      throw QueryError(m.name + ": " + error.what());
+    }
   });
 }
 
@@ -416,7 +433,7 @@
   try {
     auto tree = pegtl::parse_tree::parse<grammar::query, grammar::keep, grammar::action>(input);
     if (!tree) throw QueryError("column 1: no expression");
-    root_ = build(*tree->children.at(0));
+    root_ = ExprBuilder().build(*tree->children.at(0));
   } catch (const pegtl::parse_error& error) {
     throw QueryError(
         fmt::format("column {}: not in the part of PromQL that is read here", error.positions()[0].column));
--- a/src/config/value.cpp
+++ b/src/config/value.cpp
@@ -7,9 +7,9 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <regex>
 #include <set>
 
+#include "base/pattern.h"
 #include "net/address.h"
 
 namespace beamshunt::config {
@@ -146,9 +146,9 @@
   bool kept = true;
   if (bound.op == "=~") {
     try {
-      kept = std::regex_search(literal.text, std::regex(limit.text));
-    } catch (const std::regex_error&) {
-      return text_of(limit) + " is no regular expression";
+      kept = base::contains_match(literal.text, limit.text);
+    } catch (const base::PatternError& error) {
+      return error.what();
     }
   } else if (bound.op == "!=") kept = literal.number != limit.number || literal.text != limit.text;
   else {
@@ -368,8 +368,43 @@
     for (auto& field : file->fields) names_[field.name].push_back(field.value);
   }
 
-  // In a definition every structure is closed: it takes no other fields than it names.
+  // In a definition every structure is closed: it takes no other fields than it names. Throws ConfigError if
+  // the value is reached through too many names.
   ValuePtr value(const Node& node, bool closed, const std::string& path) {
+    if (depth_ == kMaxDepth)
+      throw ConfigError(to_string(node.at) + ": " + path + ": reached through too many names");
+    ++depth_;
+    ValuePtr result = evaluate(node, closed, path);
+    --depth_;
+    return result;
+  }
+
+  ValuePtr structure(const Node& node, bool closed, const std::string& path) {
+    auto out = std::make_shared<Value>();
+    out->kind = Value::Kind::structure;
+    out->at = node.at;
+    out->closed = closed;
+    for (auto& field : node.fields) {
+      if (field.name[0] == '#' || field.name[0] == '_') continue;  // to be named, not settings themselves
+      std::string at = joined(path, field.name);
+      ValuePtr given = value(*field.value, closed, at);
+      auto held = std::find_if(out->members.begin(), out->members.end(),
+                               [&](auto& m) { return m.first == field.name; });
+      if (held == out->members.end()) {
+        out->members.emplace_back(field.name, Member{given, field.optional, field.at});
+      } else {
+        held->second.value = unifier_.unify(held->second.value, given, at);
+        held->second.optional &= field.optional;
+      }
+    }
+    return out;
+  }
+
+ private:
+  // Each level of the files' nesting and each name on the way takes one; bounds the stack.
+  static constexpr std::size_t kMaxDepth = 500;
+
+  ValuePtr evaluate(const Node& node, bool closed, const std::string& path) {
     auto out = std::make_shared<Value>();
     out->at = node.at;
     switch (node.kind) {
@@ -412,28 +447,6 @@
     return out;
   }
 
-  ValuePtr structure(const Node& node, bool closed, const std::string& path) {
-    auto out = std::make_shared<Value>();
-    out->kind = Value::Kind::structure;
-    out->at = node.at;
-    out->closed = closed;
-    for (auto& field : node.fields) {
-      if (field.name[0] == '#' || field.name[0] == '_') continue;  // to be named, not settings themselves
-      std::string at = joined(path, field.name);
-      ValuePtr given = value(*field.value, closed, at);
-      auto held = std::find_if(out->members.begin(), out->members.end(),
-                               [&](auto& m) { return m.first == field.name; });
-      if (held == out->members.end()) {
-        out->members.emplace_back(field.name, Member{given, field.optional, field.at});
-      } else {
-        held->second.value = unifier_.unify(held->second.value, given, at);
-        held->second.optional &= field.optional;
-      }
-    }
-    return out;
-  }
-
- private:
   ValuePtr named(const Node& node, bool closed, const std::string& path) {
     for (auto& t : kTypes)
       if (node.text == t.name) {
@@ -467,6 +480,7 @@
   Unifier& unifier_;
   std::map<std::string, std::vector<NodePtr>> names_;
   std::set<std::string> open_;  // names being looked up: a second look would not end
+  std::size_t depth_ = 0;       // calls of value() that have not returned
 };
 
 // Values to a concrete tree: defaults chosen, what is missing noted. Nothing where something is missing.
--- a/src/experiment/plan.cpp
+++ b/src/experiment/plan.cpp
@@ -9,6 +9,7 @@
 
 #include "base/file.h"
 #include "base/parse.h"
+#include "base/pattern.h"
 #include "experiment/results.h"
 
 namespace beamshunt::experiment {
@@ -167,7 +168,12 @@
   for (const Tree& t : tree.at("sweep").items) {
     Sweep s{t.string("name"), t.string("unit"), {}, {}};
     for (const Tree& v : t.at("values").items) s.values.push_back(v.number);
-    for (const Tree& v : t.at("set").items) s.set.push_back(v.text);
+    for (const Tree& v : t.at("set").items) {
+      // The search for the places of the value is a regular expression too.
+      if (v.text.size() > base::kMaxMatchedBytes)
+        refuse(v, "sweep.set", fmt::format("longer than {} bytes", base::kMaxMatchedBytes));
+      s.set.push_back(v.text);
+    }
     if (s.values.empty()) refuse(t.at("values"), "sweep.values", "a value is needed");
     plan.sweeps.push_back(std::move(s));
   }
--- a/tests/alerts/alerts_test.cpp
+++ b/tests/alerts/alerts_test.cpp
@@ -84,6 +84,20 @@
 
 TEST(PromQl, WhatIsNestedWithoutEndIsRefused) { EXPECT_THROW(Query(std::string(100000, '(')), QueryError); }
 
+// Guards against a stack overflow: a chain of operators is an expression with a level for each.
+TEST(PromQl, AChainOfManyOperatorsIsRefusedAndOneOfSomeIsNot) {
+  std::string sum = "1";
+  for (int k = 0; k < 400; ++k) sum += " + 1";
+  EXPECT_EQ(run(sum), (M{{"", 401}}));
+  for (int k = 0; k < 200000; ++k) sum += " + 1";
+  EXPECT_THROW(Query{sum}, QueryError);
+}
+
+TEST(PromQl, AMatcherThatIsNoPatternOrTooLongIsRefused) {
+  for (const std::string& pattern : {std::string("["), std::string(500000, '(')})
+    EXPECT_THROW(run("up{job=~\"" + pattern + "\"}"), QueryError);
+}
+
 TEST(Rules, TheShippedOnesAreSoundAndPassTheirTests) {
   auto rules = read_rules("alerts/beamshunt.yml");
   EXPECT_GE(rules.size(), 13u);
--- a/tests/config/config_test.cpp
+++ b/tests/config/config_test.cpp
@@ -117,6 +117,19 @@
       std::string::npos);
 }
 
+// Guards against a stack overflow: each of 50,000 fields names the next, or a name is matched byte by byte.
+TEST(Config, WhatIsReachedThroughManyNamesAndLongTextIsRefused) {
+  std::string chain = "listen: _a0\n";
+  for (int k = 0; k < 50000; ++k) chain += "_a" + std::to_string(k) + ": _a" + std::to_string(k + 1) + "\n";
+  chain += "_a50000: \"127.0.0.1:1\"\n";
+  EXPECT_NE(refused(chain).find("reached through too many names"), std::string::npos) << refused(chain);
+  std::string long_name =
+      "listen: \"127.0.0.1:1\"\nclasses: [{slo: 1s, name: \"" + std::string(500000, 'a') + "\"}]";
+  EXPECT_NE(refused(long_name).find("longer than 1024 bytes"), std::string::npos);
+  std::string long_pattern = "listen: \"127.0.0.1:1\" & =~\"" + std::string(500000, '(') + "\"";
+  EXPECT_NE(refused(long_pattern).find("longer than 1024 bytes"), std::string::npos);
+}
+
 TEST(Config, AllFaultsAreListed) {
   std::string all = refused("listen: 5\nlimits: {queue: 0, rte: 5/s}\n");
   EXPECT_NE(all.find("listen"), std::string::npos);
--- a/tests/experiment/experiment_test.cpp
+++ b/tests/experiment/experiment_test.cpp
@@ -149,6 +149,8 @@
   EXPECT_NE(with("sample: 500ms", "sample: 0ms").find("needs sample"), std::string::npos);
   EXPECT_NE(with("{rate*2}/s", "{rate*2}s").find("rate = 60"), std::string::npos) << "the point is named";
   EXPECT_NE(with("{rate*2}/s", "{rat}/s").find("rate = 60"), std::string::npos);
+  EXPECT_NE(with("{rate*2}/s", "{" + std::string(500000, 'r')).find("longer than 1024 bytes"),
+            std::string::npos);
   EXPECT_NE(with("seeds: 2", "seedz: 2").find("unknown field"), std::string::npos);
 }
 
