--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -79,17 +79,14 @@
     }
   }
   // A time that is positive but too short to be measured is as impossible as a negative one.
-  for (const char* tiny : {"1e-310", "5e-324", "1e-20"}) {
-    auto outcomes = [&](const std::string& latency, const std::string& interval) {
-      return R"({"t":"outcomes","locality":"north","endpoint":"s","total":5,"errors":0,"rtt":)" + latency +
-             R"(,"interval":)" + interval + "}";
-    };
-    EXPECT_EQ(rejection(outcomes(tiny, "500")), Scope::message);
-    EXPECT_EQ(rejection(outcomes("3", tiny)), Scope::message);
-    EXPECT_EQ(rejection(R"({"t":"demand","node":1,"route":"buy","total":5,"errors":0,"interval":)" +
-                        std::string(tiny) + "}"),
-              Scope::message);
-  }
+  for (double tiny : {1e-310, 5e-324, 1e-20})
+    for (const json& message : valid)
+      for (const char* name : {"interval", "rtt"}) {
+        if (!message.contains(name)) continue;
+        json malformed = message;
+        malformed[name] = tiny;
+        EXPECT_EQ(rejection(malformed.dump()), Scope::message) << malformed;
+      }
   // Requests may fail in a later interval than the one in which they arrive, so failures may exceed arrivals.
   // An attempt is counted in the interval in which it ends, so failures may not exceed attempts.
   EXPECT_FALSE(rejection(R"({"t":"demand","node":1,"route":"buy","total":1,"errors":2,"interval":500})"));
@@ -110,21 +107,26 @@
   std::string objects;
   for (std::size_t level = 0; level < kLevels / 4; ++level) objects += "{\"a\":";
   objects += "1" + std::string(kLevels / 4, '}');
-  const std::string messages[] = {
-      R"({"t":@})",
-      R"({"t":"hello","node":1,"locality":"north","w":2,"cold":@})",
-      R"({"t":"ack","node":1,"nonce":@,"latency":2})",
-      R"({"t":"demand","node":1,"route":@,"total":5,"errors":1,"interval":500})",
-      R"({"t":"outcomes","locality":"north","endpoint":"s","total":@,"errors":0,"rtt":3,"interval":500})",
-      R"({"t":"outcomes","locality":"north","endpoint":"s","total":1,"errors":0,"rtt":3,"interval":500,)"
-      R"("metrics":@})",
-      R"({"t":"outcomes","locality":"north","endpoint":"s","total":1,"errors":0,"rtt":3,"interval":500,)"
-      R"("metrics":{"util":@}})"};
-  for (const std::string& message : messages)
+  using nlohmann::json;
+  const json report = {
+      {"t", "outcomes"}, {"locality", "north"}, {"endpoint", "s"}, {"total", 5},
+      {"errors", 1},     {"rtt", 3.0},          {"interval", 500}, {"metrics", {{"util", 0.5}}}};
+  const std::pair<json, const char*> fields[] = {
+      {report, "/t"},
+      {report, "/total"},
+      {report, "/metrics"},
+      {report, "/metrics/util"},
+      {{{"t", "hello"}, {"node", 1}, {"locality", "north"}, {"w", 2}, {"cold", true}}, "/cold"},
+      {{{"t", "ack"}, {"node", 1}, {"nonce", 5}, {"latency", 2}}, "/nonce"},
+      {{{"t", "demand"}, {"node", 1}, {"route", "buy"}, {"total", 5}, {"errors", 1}, {"interval", 500}},
+       "/route"}};
+  for (const auto& [message, field] : fields)
     for (const std::string& nested : {arrays, objects}) {
-      std::string line = message;
-      line.replace(line.find('@'), 1, nested);
-      EXPECT_EQ(rejection(line), Scope::message) << message;
+      json malformed = message;
+      malformed[json::json_pointer(field)] = "@";
+      std::string line = malformed.dump();
+      line.replace(line.find("\"@\""), 3, nested);
+      EXPECT_EQ(rejection(line), Scope::message) << field << " of " << message;
     }
   // A field that no message has is ignored, whatever its value.
   EXPECT_FALSE(rejection(R"({"t":"probe","odd":)" + arrays + "}"));
