One range check for message numbers, one nested text for the tests

Cause: the bounds of interval and rtt stood beside the range check of numbers instead of in it, with an error of their own; the native list repeated the bounds of a listed capacity; six test files built the same deeply nested text.

Change: MessageFields::number takes a lower bound, the native list uses the bounds of policy/report_validation, tests/nested_json.h makes the text. The same messages are refused; the error of an impossible rtt names its bounds as before, that of one over the upper bound names 0.001 in place of 0 as the lower.

--- a/src/assigner/endpoint_list_json.cpp
+++ b/src/assigner/endpoint_list_json.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "base/json.h"
+#include "policy/report_validation.h"
 
 namespace beamshunt::assigner {
 namespace {
@@ -18,10 +19,6 @@
 
 // In ms since 1970; lies in the year 33658. A larger start time has a wrong unit or is damaged.
 constexpr double kMaxStartWallMs = 1e15;
-// Relative capacities outside these bounds can't be combined with those of other endpoints without losing all
-// precision.
-constexpr double kMinCapacity = 1e-9;
-constexpr double kMaxCapacity = 1e9;
 
 const json& required_field(const json& object, const char* name) {
   auto found = object.find(name);
@@ -89,7 +86,7 @@
   entry.id = static_cast<std::uint32_t>(unsigned_field(json_entry, "id", UINT32_MAX));
   entry.locality = locality_index(json_entry, localities);
   entry.cell = static_cast<std::uint32_t>(unsigned_field(json_entry, "cell", UINT32_MAX));
-  entry.capacity = number_field(json_entry, "size", kMinCapacity, kMaxCapacity);
+  entry.capacity = number_field(json_entry, "size", kMinListedCapacity, kMaxListedCapacity);
   entry.state = endpoint_state(json_entry);
   entry.start_wall_ms = number_field(json_entry, "started_ms", 0, kMaxStartWallMs);
   entry.address = endpoint_address(json_entry);
--- a/src/platform/message.cpp
+++ b/src/platform/message.cpp
@@ -58,12 +58,13 @@
     return text;
   }
 
-  [[nodiscard]] double number(const char* name, double max) const {
+  [[nodiscard]] double number(const char* name, double max, double min = 0) const {
     const json& value = at(name);
     if (!value.is_number()) fail_field(name, "is no number", json_excerpt(value), "a number");
     auto number = value.get<double>();
-    if (!std::isfinite(number) || number < 0 || number > max)
-      fail_field(name, "is out of range: " + value.dump(), json_excerpt(value), "0 to " + json(max).dump());
+    if (!std::isfinite(number) || number < min || number > max)
+      fail_field(name, "is out of range: " + value.dump(), json_excerpt(value),
+                 (min > 0 ? json(min).dump() : "0") + " to " + json(max).dump());
     return number;
   }
 
@@ -82,18 +83,11 @@
   }
 
   // Returns the time covered by a report, in ms. Rates are divided by it.
-  [[nodiscard]] Ms interval() const {
-    Ms interval = number("interval", kMaxDuration);
-    if (interval < kMinReportInterval.count()) fail_too_short("interval", interval, kMinReportInterval);
-    return interval;
-  }
+  [[nodiscard]] Ms interval() const { return number("interval", kMaxDuration, kMinReportInterval.count()); }
 
   // Returns the mean latency of the successful attempts, in ms; 0 if there is none.
   [[nodiscard]] Ms mean_latency() const {
-    Ms latency = number("rtt", kMaxDuration);
-    if (latency > 0 && latency < kMinReportedLatency.count())
-      fail_too_short("rtt", latency, kMinReportedLatency);
-    return latency;
+    return at("rtt") == 0 ? 0 : number("rtt", kMaxDuration, kMinReportedLatency.count());
   }
 
   [[nodiscard]] Locality locality(const settings::Names& names) const {
@@ -117,12 +111,6 @@
   [[nodiscard]] ProxyId proxy(int proxy_count) const { return ProxyId(integer("node", proxy_count - 1)); }
 
  private:
-  [[noreturn]] static void fail_too_short(const char* name, Ms value, Duration min) {
-    std::string text = json(value).dump();
-    fail_field(name, "is out of range: " + text, text,
-               json(min.count()).dump() + " to " + json(kMaxDuration).dump());
-  }
-
   const json& object_;
 };
 
--- a/tests/assigner/parts_test.cpp
+++ b/tests/assigner/parts_test.cpp
@@ -8,6 +8,7 @@
 #include "assigner/core_harness.h"
 #include "assigner/endpoint_list_json.h"
 #include "assigner/report_intake.h"
+#include "nested_json.h"
 
 namespace beamshunt::assigner::test {
 namespace {
@@ -144,12 +145,10 @@
 
 // Guards against a stack overflow while a value of the wrong type was quoted.
 TEST(EndpointListJson, DeeplyNestedValueIsRefusedWithItsFieldAndAShortExcerpt) {
-  constexpr std::size_t kLevels = 400000;
-  std::string nested = std::string(kLevels, '[') + std::string(kLevels, ']');
   try {
     std::ignore = parse_endpoint_list(
-        R"({"kind":"total","version":1,"entries":[{"id":1,"locality":"north","cell":0,"size":)" + nested +
-            "}]}",
+        R"({"kind":"total","version":1,"entries":[{"id":1,"locality":"north","cell":0,"size":)" +
+            beamshunt::test::nested_arrays() + "}]}",
         {"north"});
     FAIL() << "taken";
   } catch (const EndpointListError& error) {
--- a/tests/base/json_test.cpp
+++ b/tests/base/json_test.cpp
@@ -3,12 +3,13 @@
 
 #include <gtest/gtest.h>
 
+#include "nested_json.h"
+
 namespace beamshunt::base {
 namespace {
 
 using nlohmann::json;
-
-std::string arrays(std::size_t levels) { return std::string(levels, '[') + std::string(levels, ']'); }
+using test::nested_arrays;
 
 TEST(Json, ValidTextIsParsedAsTheLibraryParsesIt) {
   for (const char* text :
@@ -26,11 +27,11 @@
 
 // Values beside one that is nested too deeply, before and after it, must be kept.
 TEST(Json, OnlyTheLevelsBelowTheLimitAreReplacedByNull) {
-  EXPECT_EQ(parse_json(arrays(kMaxJsonDepth)).value.dump(), arrays(kMaxJsonDepth));
+  EXPECT_EQ(parse_json(nested_arrays(kMaxJsonDepth)).value.dump(), nested_arrays(kMaxJsonDepth));
   std::string kept = std::string(kMaxJsonDepth, '[') + "null" + std::string(kMaxJsonDepth, ']');
-  EXPECT_EQ(parse_json(arrays(kMaxJsonDepth + 1)).value.dump(), kept);
+  EXPECT_EQ(parse_json(nested_arrays(kMaxJsonDepth + 1)).value.dump(), kept);
 
-  ParsedJson parsed = parse_json(R"({"a":[1,)" + arrays(400000) + R"(,2],"b":{"c":3}})");
+  ParsedJson parsed = parse_json(R"({"a":[1,)" + nested_arrays() + R"(,2],"b":{"c":3}})");
   EXPECT_EQ(parsed.truncated_members, std::set<std::string>{"a"});
   EXPECT_EQ(parsed.value["a"].size(), 3u);
   EXPECT_EQ(parsed.value["a"][2], 2);
--- a/tests/platform/configuration_test.cpp
+++ b/tests/platform/configuration_test.cpp
@@ -3,20 +3,14 @@
 
 #include <gtest/gtest.h>
 
+#include "nested_json.h"
 #include "platform/core_harness.h"
 
 namespace beamshunt::platform::test {
 namespace {
 
-constexpr std::size_t kLevels = 400000;
-
-std::string nested_arrays() { return std::string(kLevels, '[') + std::string(kLevels, ']'); }
-
-std::string nested_objects() {
-  std::string text;
-  for (std::size_t level = 0; level < kLevels; ++level) text += "{\"a\":";
-  return text + "1" + std::string(kLevels, '}');
-}
+using beamshunt::test::nested_arrays;
+using beamshunt::test::nested_objects;
 
 // Returns the configuration with one field of the given object replaced by JSON text.
 std::string configuration_with(const json::json_pointer& field, const std::string& text) {
--- a/tests/platform/endpoint_catalog_test.cpp
+++ b/tests/platform/endpoint_catalog_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include "nested_json.h"
 #include "platform/core_harness.h"
 
 namespace beamshunt::platform::test {
@@ -91,8 +92,7 @@
   draining["capacity_hint"] = "@";
   std::string bytes =
       endpoint_list(6, false, {draining, endpoint_entry("s-b", "north", "terminating")}).dump();
-  constexpr std::size_t kLevels = 400000;
-  bytes.replace(bytes.find("\"@\""), 3, std::string(kLevels, '[') + std::string(kLevels, ']'));
+  bytes.replace(bytes.find("\"@\""), 3, beamshunt::test::nested_arrays());
   auto change = catalog.apply(bytes, kNames, 0, 0);
   EXPECT_EQ(state("s-a"), EndpointState::draining);
   EXPECT_EQ(state("s-b"), EndpointState::draining);
--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "nested_json.h"
 #include "seeded_random.h"
 
 namespace beamshunt::platform {
@@ -102,11 +103,8 @@
 // Guards against a stack overflow: a value of the wrong type with 400,000 levels was quoted by a function
 // that calls itself for each level. Only its message is rejected, whichever field and message it is in.
 TEST(Message, DeeplyNestedValueRejectsOnlyItsMessage) {
-  constexpr std::size_t kLevels = 400000;
-  std::string arrays = std::string(kLevels, '[') + std::string(kLevels, ']');
-  std::string objects;
-  for (std::size_t level = 0; level < kLevels / 4; ++level) objects += "{\"a\":";
-  objects += "1" + std::string(kLevels / 4, '}');
+  const std::string arrays = beamshunt::test::nested_arrays();
+  const std::string objects = beamshunt::test::nested_objects();
   using nlohmann::json;
   const json report = {
       {"t", "outcomes"}, {"locality", "north"}, {"endpoint", "s"}, {"total", 5},
--- a/tests/platform/service_test.cpp
+++ b/tests/platform/service_test.cpp
@@ -13,6 +13,7 @@
 
 #include "base/file.h"
 #include "http/server.h"
+#include "nested_json.h"
 #include "platform/core_harness.h"
 #include "process/child.h"
 
@@ -331,9 +332,8 @@
 // The message is dropped, and its peer and all others are served.
 TEST_F(PlatformProcess, DeeplyNestedValueInAReportEndsNeitherTheProcessNorAStream) {
   auto proxy = start_with_one_proxy();
-  constexpr std::size_t kLevels = 400000;
   proxy->connection->send(R"({"t":"demand","node":0,"route":"buy","errors":0,"interval":500,"total":)" +
-                          std::string(kLevels, '[') + std::string(kLevels, ']') + "}\n");
+                          beamshunt::test::nested_arrays() + "}\n");
   proxy->send({{"t", "probe"}});
   wait_until("the answer to the message after it", [&] { return !proxy->received("alive").empty(); });
   EXPECT_FALSE(child->has_exited());
@@ -352,8 +352,7 @@
   entry["model"] = "@";
   config["known"]["targets"].push_back(entry);
   std::string bytes = config.dump();
-  constexpr std::size_t kLevels = 400000;
-  bytes.replace(bytes.find("\"@\""), 3, std::string(kLevels, '[') + std::string(kLevels, ']'));
+  bytes.replace(bytes.find("\"@\""), 3, beamshunt::test::nested_arrays());
   start_with_bytes(bytes);
   wait_until("alive", [&] { return is_serving(); });
   auto proxy = register_proxy(0);
