--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -12,10 +12,10 @@
 
 play "$here" <<PLAN
 {"judge":"drain","length_s":24,"seed":${SEED:-$RANDOM},
- "proxies":400,"rate":800,"shares":[0.53,0.27,0.20],"tasks_per_zone":10,"standing":6,
+ "proxies":400,"rate":350,"shares":[0.53,0.27,0.20],"tasks_per_zone":10,"standing":6,
  "redial_ms":[710,2400],"first_dials_ms":2000,"heard_late_ms":700,"rtt_ms":240,"util":0.5,
- "channel":{"lines_per_s":2300,"late_ms":81},
+ "channel":{"lines_per_s":1700,"late_ms":81},
  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
  "events":[$events],
- "settings":$(head_office 400 2300)}
+ "settings":$(head_office 400 1700 4000)}
 PLAN
--- a/review/peers-2/settings.sh
+++ b/review/peers-2/settings.sh
@@ -1,6 +1,7 @@
 # The settings object of small deployments, with the names and units of the simulator's first message.
 
-# head_office PROXIES LINES_PER_S: Sunbird's head office. The channel's queue holds what it sends in 2 s.
+# head_office PROXIES LINES_PER_S [LINES_WAITING]: Sunbird's head office. The queue holds what the channel sends in 2 s,
+# if nothing else is said.
 head_office() {
   cat <<SETTINGS
 {"azs":["room-north","room-middle","room-south"],"locality":"room-middle","balancers":1,"me":0,
@@ -16,7 +17,7 @@
   "streams_per_conn":100},
  "report":{"how":"probe","columns":["utilization","backlog"]},
  "family_info":{"key_ranges":0,"level_kind":"rate","default_retry":0,"try_factor":1.2,"default_size":6,
-  "by_zone":false,"egress_per_s":$2.0,"envelope":3.0,"most_waiting":$((2 * $2)).0,"pushes_allowed":30,
+  "by_zone":false,"egress_per_s":$2.0,"envelope":3.0,"most_waiting":${3:-$((2 * $2))}.0,"pushes_allowed":30,
   "messages_over":10000.0,"agents":$1,"push_delay":81.0,"late_most":400.0,"period":500.0,"empty_for":5000.0,
   "hears_per_s":250.0,"home_only":[false,false,true],"writers":[false,true,true],"outlier_after":3,
   "lb_method":"weighted"},
