--- a/review/peers-2/world.cpp
+++ b/review/peers-2/world.cpp
@@ -278,6 +278,7 @@
  public:
   World(json plan, std::string folder) : plan_(std::move(plan)), folder_(std::move(folder)) {
     random_.seed(plan_.value("seed", 1));
+    record("seed %d", plan_.value("seed", 1));
     settings_ = plan_["settings"];
     for (const auto& request_class : settings_["classes"]) classes_.push_back(request_class["name"]);
     zones_ = settings_["azs"].get<std::vector<std::string>>();
