Count a lost locality's demand in the limit for its first cold endpoint

Callers saw: all endpoints of a room are lost, the assigner is restarted meanwhile, and the first cold endpoint that returns gets the whole room's home-only traffic, 4.7 to 5.9 times what it can do (4 allowed).

Cause: the limit while all is warming up is the guaranteed capacity over that of all known endpoints. A new assigner doesn't know what was removed before its start, so one endpoint counted as the whole locality. The same path is taken after a reload and at a first start into a half-lost room.

Change: the capacity of a locality counts at least with what its proxies need at the fleet's mean load for each unit of listed capacity, from what they announced.

--- a/src/policy/admission_control.cpp
+++ b/src/policy/admission_control.cpp
@@ -123,7 +123,7 @@
   if (settings_.admission_limit_kind == AdmissionLimitKind::none) return max_limit;
   bool local_only = settings_.classes[request_class].local_only;
   return std::min({max_limit, class_limit(group, request_class, demand, proxies),
-                   warm_up_limit(key.locality, group, local_only, fleet)});
+                   warm_up_limit(key.locality, group, local_only, proxies, fleet)});
 }
 
 // Splits the rate by max-min fairness within the group, so that large proxies can use what small proxies
@@ -149,30 +149,54 @@
 
 // Keeps the warm-up guarantee (rule 4) where weights cannot: while all endpoints that a table may use are
 // warming up (as for a local-only class after the loss of its locality), its proxies admit only the
-// guaranteed fraction of the capacity. Endpoints return one by one, so the guaranteed capacity is compared
-// with the capacity of all known endpoints, including those removed within the last minute. There is no
-// expected rate for a class, so the expected rate of a proxy is split equally over the classes.
+// guaranteed fraction of the capacity. There is no expected rate for a class, so the expected rate of a proxy
+// is split equally over the classes.
 double AdmissionControl::warm_up_limit(Locality own, const ProxyGroup& group, bool local_only,
-                                       const FleetView& fleet) {
-  auto [share, is_new] = warm_up_fractions_.try_emplace({own, local_only}, 1);
-  if (is_new) {
-    double max_factor = 0;
-    double guaranteed = 0;
-    double listed = 0;
-    for (const auto& [id, endpoint] : fleet.endpoints) {
-      if (local_only && endpoint.listed.locality != own) continue;
-      double factor = endpoint.available() ? fleet.slow_start.factor(endpoint, fleet.now) : 0;
-      max_factor = std::max(max_factor, factor);
-      guaranteed += factor * endpoint.listed.capacity;
-      listed += endpoint.listed.capacity;
-    }
-    if (guaranteed > 0 && max_factor < 1) share->second = guaranteed / listed;
-  }
+                                       const ProxyMap& proxies, const FleetView& fleet) {
+  auto [fraction, is_new] = warm_up_fractions_.try_emplace({own, local_only}, 1);
+  if (is_new) fraction->second = warm_up_fraction(own, local_only, proxies, fleet);
   auto members = static_cast<double>(group.members.size());
-  if (share->second >= 1 || members == 0) return kUnlimitedRate;
-  if (settings_.admission_limit_kind == AdmissionLimitKind::share) return share->second;
+  if (fraction->second >= 1 || members == 0) return kUnlimitedRate;
+  if (settings_.admission_limit_kind == AdmissionLimitKind::share) return fraction->second;
   double expected_class_rate = group.expected_rate / members / static_cast<double>(settings_.classes.size());
-  return share->second * expected_class_rate;
+  return fraction->second * expected_class_rate;
+}
+
+// Endpoints return one by one, so the guaranteed capacity is compared with the capacity of all known
+// endpoints, including those removed within the last minute. A new controller does not know what was removed
+// before it started: the first endpoint that returns would count as the whole locality. So the capacity of a
+// locality counts at least with what its proxies need at the fleet's mean load for each unit of capacity.
+double AdmissionControl::warm_up_fraction(Locality own, bool local_only, const ProxyMap& proxies,
+                                          const FleetView& fleet) const {
+  double max_factor = 0;
+  double guaranteed = 0;
+  double usable_listed = 0;
+  double fleet_listed = 0;
+  for (const auto& [id, endpoint] : fleet.endpoints) {
+    fleet_listed += endpoint.listed.capacity;
+    if (local_only && endpoint.listed.locality != own) continue;
+    double factor = endpoint.available() ? fleet.slow_start.factor(endpoint, fleet.now) : 0;
+    max_factor = std::max(max_factor, factor);
+    guaranteed += factor * endpoint.listed.capacity;
+    usable_listed += endpoint.listed.capacity;
+  }
+  if (guaranteed <= 0 || max_factor >= 1) return 1;
+  double needed = local_only ? fleet_listed * expected_share(own, proxies) : usable_listed;
+  return guaranteed / std::max(usable_listed, needed);
+}
+
+double AdmissionControl::expected_share(Locality locality, const ProxyMap& proxies) const {
+  double local_rate = 0;
+  double registered_rate = 0;
+  for (const auto& [id, proxy] : proxies) {
+    registered_rate += proxy.expected_rate;
+    if (proxy.group.locality == locality) local_rate += proxy.expected_rate;
+  }
+  if (registered_rate <= 0) return 0;
+  if (!settings_.local_proxies_only) return local_rate / registered_rate;
+  // The proxies of other localities are registered elsewhere. Each counts with the mean rate.
+  double mean_rate = registered_rate / static_cast<double>(proxies.size());
+  return local_rate / std::max(registered_rate, settings_.proxy_count * mean_rate);
 }
 
 }  // namespace beamshunt
--- a/src/policy/admission_control.h
+++ b/src/policy/admission_control.h
@@ -15,7 +15,8 @@
 //  - The rate of a class is split over proxy groups by their throughput. Within a group, it is split by
 //    max-min fairness into one limit for each proxy.
 //  - While all endpoints that a table may use are warming up (as for a local-only class after the loss of its
-//    locality), the limits admit only the guaranteed capacity.
+//    locality), the limits admit only the guaranteed fraction of the capacity that the demand needs. That
+//    capacity is the listed capacity, or more if the fleet's mean load for each unit of capacity says so.
 // Reasons: The step follows Retro (Mace and others, NSDI 2015, section 5.1, Algorithm 1). A fleet with
 // headroom needs better weights and no cuts: a cut of whole classes because of one slow endpoint would reject
 // work that other endpoints can do. The limit during warm-up keeps the warm-up guarantee (rule 4) where
@@ -70,13 +71,18 @@
   [[nodiscard]] double class_limit(const ProxyGroup& group, std::size_t request_class, const Demand& demand,
                                    const ProxyMap& proxies) const;
   [[nodiscard]] double warm_up_limit(Locality own, const ProxyGroup& group, bool local_only,
-                                     const FleetView& fleet);
+                                     const ProxyMap& proxies, const FleetView& fleet);
+  // Returns the guaranteed fraction of the needed capacity while all endpoints are warming up, else 1.
+  [[nodiscard]] double warm_up_fraction(Locality own, bool local_only, const ProxyMap& proxies,
+                                        const FleetView& fleet) const;
+  // Returns the fraction of the fleet's expected rate that the proxies of the locality announced.
+  [[nodiscard]] double expected_share(Locality locality, const ProxyMap& proxies) const;
 
   const Settings& settings_;
   std::vector<double> rates_;  // requests per second of the fleet, by class; infinite: not limited
   Time next_cut_ = kDistantPast;
-  // Guaranteed fraction of the listed capacity while all endpoints are warming up, else 1. The key is the
-  // locality and whether the class is local-only. Each value is computed at most once in a batch.
+  // Results of warm_up_fraction(). The key is the locality and whether the class is local-only. Each value is
+  // computed at most once in a batch.
   std::map<std::pair<Locality, bool>, double> warm_up_fractions_;
 };
 
--- a/tests/policy/controller_test.cpp
+++ b/tests/policy/controller_test.cpp
@@ -804,6 +804,72 @@
   }
 }
 
+// Guards against the overload of the first endpoint of a lost locality: a controller that started after the
+// loss took the endpoints that are back for the whole locality. The list names `returned` cold ones of five.
+TEST(WarmUp, LimitsALocalOnlyClassAfterARestartThatForgotTheLostEndpoints) {
+  for (AdmissionLimitKind kind : {AdmissionLimitKind::rate, AdmissionLimitKind::share}) {
+    for (unsigned returned : {1U, 2U, 3U, 4U, 5U}) {
+      Settings settings = two_locality_settings();
+      settings.classes[1].local_only = true;
+      settings.admission_limit_kind = kind;
+      settings.proxy_count = 2;
+      ControllerHarness harness(settings);
+      vector<ListedEndpoint> entries;
+      for (unsigned k = 0; k < 5; ++k) entries.push_back(make_endpoint(21 + k, 1));
+      for (unsigned k = 0; k < returned; ++k) {
+        entries.push_back(make_endpoint(11 + k, 0));
+        entries.back().start_time = harness.now;
+        entries.back().start_time_known = true;
+      }
+      harness.start(entries);
+      harness.register_proxy(1, 0, 20);
+      harness.register_proxy(2, 1, 20);
+      harness.run_periods(2, all_fast);
+      double local_demand = kind == AdmissionLimitKind::rate ? 10 : 1;
+      double guaranteed = local_demand * settings.initial_capacity * returned / 5;
+      // The other class may send as much again to the endpoints.
+      EXPECT_LE(harness.admission_limit(1, 1).limit, guaranteed * settings.overload_multiple / 2) << returned;
+      EXPECT_GE(harness.admission_limit(1, 1).limit, guaranteed) << returned;
+    }
+  }
+}
+
+// Guards against the same overload while proxies are still registering, in any order: the limits of all
+// registered proxies of the locality together stay within what its first endpoint can do.
+TEST(WarmUp, LimitsALocalOnlyClassWhileProxiesRegisterAfterARestart) {
+  const vector<vector<unsigned>> kOrders = {
+      {1, 2, 3, 4, 5, 6, 7, 8}, {5, 6, 7, 8, 1, 2, 3, 4}, {1, 5, 2, 6, 3, 7, 4, 8}};
+  for (bool local_proxies_only : {false, true}) {
+    for (const vector<unsigned>& order : kOrders) {
+      Settings settings = two_locality_settings();
+      settings.classes[1].local_only = true;
+      settings.local_proxies_only = local_proxies_only;
+      settings.proxy_count = 8;
+      ControllerHarness harness(settings);
+      vector<ListedEndpoint> entries = {make_endpoint(21, 1), make_endpoint(22, 1), make_endpoint(23, 1),
+                                        make_endpoint(24, 1), make_endpoint(11, 0)};
+      entries.back().start_time = harness.now;
+      entries.back().start_time_known = true;
+      harness.start(entries);
+      double registered_locally = 0;
+      for (unsigned proxy : order) {
+        bool is_local = proxy <= 4;
+        if (local_proxies_only && !is_local) continue;
+        harness.register_proxy(proxy, is_local ? 0 : 1, 20);
+        harness.run_periods(2, all_fast);
+        if (!is_local) continue;
+        double warm_up_progress = (harness.now - entries.back().start_time) / settings.warm_up_time;
+        double factor = settings.initial_capacity + (1 - settings.initial_capacity) * warm_up_progress;
+        // One of four endpoints is back, for 40 requests per second. The other class may send as much.
+        double guaranteed = 40.0 / 4 * factor;
+        double limit = ++registered_locally * harness.admission_limit(proxy, 1).limit;
+        EXPECT_LE(limit, guaranteed * settings.overload_multiple / 2) << proxy;
+        EXPECT_GT(limit, 0) << proxy;
+      }
+    }
+  }
+}
+
 // Only classes that are not local-only can leave a locality, so the whole excess load has to consist of these
 // classes.
 TEST(WarmUp, SendsTheFirstReturningEndpointNoMoreOfTheMovableClassesThanItsShare) {
