Write removals by their deadline and gather them while the channel is busy

Callers saw: while 18 of 30 endpoints were replaced within 7 s, proxies of one or two localities went on sending to draining endpoints for 2 to 6 s after the grace period, and those of another got a message at each change.

Cause: groups were ordered by their last ordinary update, of which none is written while the queue is full; each change was a message of its own (400 lines for one removal); replacements in one table took the lines of removals in the next; the queue held more than the channel sends in the grace period.

Change: the oldest unwritten change decides the order; a group gathers changes while the channel is busy; removals of all tables come first; all fractions are of the lines that can still arrive in time; a waiting update is tried again when the channel may have room. An emptied table is filled by a priority update.

--- a/src/policy/controller.cpp
+++ b/src/policy/controller.cpp
@@ -116,7 +116,8 @@
   // A changed endpoint list is published without waiting for the next period. If it changes in the batch of a
   // period, the flag stays set and the next batch publishes again, because lines for the priority updates may
   // be available then.
-  bool due = period_due || endpoint_list_changed;
+  std::optional<Time> attempt = scheduler.next_priority_attempt();
+  bool due = period_due || endpoint_list_changed || (attempt && now >= *attempt);
   if (!period_due) endpoint_list_changed = false;
   if (due) publish();
   assign_proxies();
@@ -197,19 +198,18 @@
   for (auto& [key, group] : groups) set_desired_weights(key, group);
   subsetter.balance_shared_endpoints(groups, fleet());
 
-  auto order = scheduler.begin_publication(groups);
-  for (UpdateKind kind : {UpdateKind::priority, UpdateKind::ordinary}) {
-    for (auto* entry : order) {
-      auto& [key, group] = *entry;
-      std::optional<double> available_lines = scheduler.available_lines(group, kind, now);
-      if (!available_lines) continue;
-      UpdateRequest request{.kind = kind,
-                            .available_lines = *available_lines,
-                            .has_unassigned_proxies = proxy_registry.any_unassigned()};
-      if (kind == UpdateKind::ordinary) request.limits = desired_limits(key, group);
-      scheduler.write_update(key, group, request, fleet(), actions);
-    }
+  scheduler.write_priority_updates(groups, proxy_registry.any_unassigned(), fleet(), actions);
+  for (auto* entry : UpdateScheduler::ordinary_update_order(groups)) {
+    auto& [key, group] = *entry;
+    std::optional<double> available_lines = scheduler.available_ordinary_lines(group, now);
+    if (!available_lines) continue;
+    UpdateRequest request{.kind = UpdateKind::ordinary,
+                          .available_lines = *available_lines,
+                          .limits = desired_limits(key, group)};
+    scheduler.write_update(key, group, request, fleet(), actions);
   }
+  std::optional<Time> attempt = scheduler.next_priority_attempt();
+  if (attempt && *attempt < next_period) actions.emplace_back(SetTimer{*attempt, 0});
 }
 
 void Controller::State::assign_proxies() {
@@ -238,8 +238,7 @@
     set_desired_weights(proxy.group, group);
     UpdateRequest request{.kind = UpdateKind::ordinary,
                           .available_lines = kUnlimitedLines,
-                          .limits = desired_limits(proxy.group, group),
-                          .has_unassigned_proxies = proxy_registry.any_unassigned()};
+                          .limits = desired_limits(proxy.group, group)};
     scheduler.write_update(proxy.group, group, request, fleet(), actions);
   }
   scheduler.assign_tables(id, group, actions);
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -134,6 +135,8 @@
   std::vector<ClassLimit> published_limits;  // by class; empty before the first update
   Time last_ordinary_update = kDistantPast;
   Time last_priority_update = kDistantPast;
+  // Time of the first publication that found the oldest priority change that is not written yet.
+  std::optional<Time> priority_change_since;
 };
 using ProxyGroupMap = std::map<ProxyGroupKey, ProxyGroup>;
 
--- a/tests/emulator/emulator_test.cpp
+++ b/tests/emulator/emulator_test.cpp
@@ -121,6 +121,15 @@
   }
 }
 
+// Guards against removals that arrive seconds after the grace period while a deploy fills a slow channel: each
+// change was sent at once, and the same groups of proxies took the lines each time.
+TEST(CrowdedChannel, KeepsDrainsWhileMostEndpointsAreReplaced) {
+  SwarmResult result = swarm({source("days/crowded/slow-channel.cue"), source("days/crowded/replace.cue")},
+                             {.days = 8, .seed = 7, .threads = 4});
+  for (const Failure& failure : result.failures) ADD_FAILURE() << failure.seed << ": " << failure.what;
+  EXPECT_GT(result.service, 0.99);
+}
+
 // One proxy before many servers of one core: the part of servers with k jobs or more is load^k for random
 // picks, load^(2^k - 1) for the better of two (Mitzenmacher; Vvedenskaya, Dobrushin and Karpelevich).
 TEST(Calibration, RandomAndTwoChoiceQueuesAreAsLongAsTheorySays) {
--- a/tests/policy/controller_test.cpp
+++ b/tests/policy/controller_test.cpp
@@ -232,6 +232,79 @@
   EXPECT_GT(registration.harness.weight(1, 0, 13), 0) << "the entry is sent once all proxies are assigned";
 }
 
+// Two localities with two proxies each. The channel has room for a few lines at a time, until acknowledgements
+// free it.
+struct BusyChannel {
+  static Settings make_settings() {
+    Settings settings = two_locality_settings();
+    settings.classes[1].local_only = true;
+    settings.max_queued_lines = 60;
+    settings.proxy_count = 4;
+    return settings;
+  }
+  ControllerHarness harness{make_settings()};
+
+  BusyChannel() {
+    vector<ListedEndpoint> entries;
+    for (unsigned locality : {0U, 1U})
+      for (unsigned k = 1; k <= 6; ++k) entries.push_back(make_endpoint(10 * (locality + 1) + k, locality));
+    harness.start(entries);
+    for (unsigned proxy : {1U, 2U, 3U, 4U}) {
+      harness.register_proxy(proxy, (proxy - 1) / 2, 20);
+      harness.run_periods(4, all_fast);
+    }
+    harness.run_periods(20, all_fast);
+  }
+  // Handles a change of the list, `after` the previous event and without any acknowledgement.
+  void change(unsigned id, unsigned locality, EndpointState state, Duration after = Duration(10)) {
+    harness.now += after;
+    ListedEndpoint entry = make_endpoint(id, locality);
+    entry.state = state;
+    harness.handle({EndpointList{EndpointListKind::incremental, {entry}}});
+  }
+  void acknowledge_all() {
+    vector<Event> events;
+    for (auto [proxy, sequence_number] : harness.unacknowledged)
+      events.emplace_back(UpdateAcknowledged{ProxyId(proxy), harness.settings.update_delay, sequence_number});
+    harness.unacknowledged.clear();
+    events.emplace_back(TimerFired{});
+    harness.handle(events);
+  }
+  // Returns whether any table of the proxy's classes has the endpoint.
+  bool uses(unsigned proxy, unsigned endpoint) {
+    return harness.weight(proxy, 0, endpoint) > 0 || harness.weight(proxy, 1, endpoint) > 0;
+  }
+};
+
+// Guards against a group that takes the channel at each change of the list, so that removals of the other
+// group wait until the end of a deploy.
+TEST(Drain, RemovesTheEntryWithTheNearestDeadlineFirst) {
+  BusyChannel busy;
+  busy.change(11, 0, EndpointState::draining);
+  ASSERT_FALSE(busy.uses(1, 11));
+  busy.change(21, 1, EndpointState::draining);
+  ASSERT_TRUE(busy.uses(3, 21)) << "the channel has no room for the second group";
+  busy.change(12, 0, EndpointState::draining);
+  busy.change(13, 0, EndpointState::draining);
+  busy.harness.now += Duration(200);
+  busy.acknowledge_all();
+  EXPECT_FALSE(busy.uses(3, 21)) << "its removal waited longest";
+}
+
+// Guards against replacements in one table of a proxy that take the lines of removals in its other table.
+TEST(Drain, RemovesEntriesFromAllTablesOfAProxyBeforeItAddsReplacements) {
+  BusyChannel busy;
+  busy.change(21, 1, EndpointState::draining);
+  for (unsigned id : {17U, 18U, 19U}) busy.change(id, 0, EndpointState::available);
+  busy.change(11, 0, EndpointState::draining);
+  for (int k = 0; k < 4 && busy.uses(1, 11); ++k) {
+    busy.harness.now += Duration(100);
+    busy.acknowledge_all();
+    EXPECT_EQ(busy.harness.weight(1, 0, 11) > 0, busy.harness.weight(1, 1, 11) > 0);
+  }
+  EXPECT_FALSE(busy.uses(1, 11));
+}
+
 TEST(Drain, RemovesAnEndpointThatIsMissingFromACompleteList) {
   ControllerHarness harness = running_harness();
   harness.handle({EndpointList{EndpointListKind::complete,
