Tell proxies that wait for their tables of drains at once

Callers saw: after a restart with 400 proxies, those that wait for tables go on sending to a draining endpoint for 3.4 to 6.1 s after the grace period.

Cause: removals were written only to members of groups, and a proxy becomes one with its complete tables, about 33 lines; for 400 proxies these take the channel 8 s.

Change: a waiting proxy is told, in one message and in the order of registration, which endpoints to remove from the tables that it holds; later changes gather. On the platform the message is a weight of 0 for all classes, in the native protocol an exclusion, which the first assigned table ends; the simulator has no such order and its adapter does without. Proxies that may hold few endpoints then get their tables first (rule 1). Assignments fill 0.4 of the usable queue, 0.6 before.

--- a/src/assigner/action_executor.cpp
+++ b/src/assigner/action_executor.cpp
@@ -47,6 +47,12 @@
     targets_.metrics.count_limit_reductions(running_.tables, action);
     apply(action);
   }
+  void operator()(const RemoveHeldEndpoint& action) {
+    if (!targets_.handover.owns(controller_, action.proxy)) return targets_.writer.add_message(action.proxy);
+    // The first assigned table ends the exclusions of a stream, so the proxy may use the endpoint again then.
+    targets_.writer.add(action.proxy,
+                        native_protocol::ExcludeEndpointUpdate{to_underlying(action.endpoint), true});
+  }
   void operator()(const AckRequest& action) {
     targets_.writer.request_acks(action.sequence_number, action.all_proxies, targets_.protocol.sessions());
   }
--- a/src/assigner/update_writer.h
+++ b/src/assigner/update_writer.h
@@ -28,6 +28,8 @@
   using UpdatesByProxy = std::map<ProxyId, std::vector<native_protocol::Update>>;
 
   void add(ProxyId proxy, const native_protocol::Update& update) { updates_[proxy].push_back(update); }
+  // Ensures that the proxy receives a message in this batch.
+  void add_message(ProxyId proxy) { updates_.try_emplace(proxy); }
   // Adds an acknowledgement request for each proxy that has pending updates and, if `all_proxies` is set, for
   // each registered proxy.
   void request_acks(std::uint32_t sequence_number, bool all_proxies, const SessionTable& sessions);
--- a/src/assignments/assignment_tables.h
+++ b/src/assignments/assignment_tables.h
@@ -89,6 +89,8 @@
   void apply(const ExcludeEndpoint& action, const WriteUpdate& write);
   void apply(const SetAdmissionLimit& action, const WriteUpdate& write);
 
+  // Returns the mask of all request classes.
+  [[nodiscard]] ClassMask all_classes() const { return all_classes_; }
   [[nodiscard]] const std::map<TableId, WeightTable>& tables() const { return tables_; }
   [[nodiscard]] const std::map<ClassId, AdmissionLimit>& limits_for_all_tables() const {
     return limits_for_all_tables_;
--- a/src/flight_record/codec.h
+++ b/src/flight_record/codec.h
@@ -116,6 +116,10 @@
   a(x.endpoint, x.excluded);
 }
 template <class A>
+void fields(A& a, RemoveHeldEndpoint& x) {
+  a(x.proxy, x.endpoint);
+}
+template <class A>
 void fields(A& a, SetAdmissionLimit& x) {
   a(x.table, x.all_tables, x.classes, x.limit, x.retry_mode);
 }
--- a/src/flight_record/describe.cpp
+++ b/src/flight_record/describe.cpp
@@ -15,8 +15,8 @@
 constexpr long kEvery = -1;  // in the text: not one table or peer but all
 
 const char* name_of(const Action& action) {
-  constexpr const char* kNames[] = {"watch", "fetch",    "timer", "probe",   "peer",   "line", "reset",
-                                    "bind",  "withdraw", "admit", "barrier", "remark", "fault"};
+  constexpr const char* kNames[] = {"watch", "fetch",    "timer", "probe",   "peer",   "line",  "reset",
+                                    "bind",  "withdraw", "admit", "barrier", "remark", "fault", "forget"};
   static_assert(std::size(kNames) == std::variant_size_v<Action>);
   return kNames[action.index()];
 }
@@ -49,6 +49,9 @@
   std::string operator()(const ExcludeEndpoint& action) const {
     return fmt::format("endpoint {} {}", to_underlying(action.endpoint), action.excluded);
   }
+  std::string operator()(const RemoveHeldEndpoint& action) const {
+    return fmt::format("proxy {} endpoint {}", to_underlying(action.proxy), to_underlying(action.endpoint));
+  }
   std::string operator()(const SetAdmissionLimit& action) const {
     long table = action.all_tables ? kEvery : static_cast<long>(to_underlying(action.table));
     return fmt::format("table {} classes {} level {} retry {}", table, action.classes, action.limit,
--- a/src/platform/core.h
+++ b/src/platform/core.h
@@ -142,6 +142,7 @@
   void execute(const AssignTable& action) { updates_.apply(action); }
   void execute(const ExcludeEndpoint& action) { updates_.apply(action); }
   void execute(const SetAdmissionLimit& action) { updates_.apply(action); }
+  void execute(const RemoveHeldEndpoint& action) { updates_.remove_held_endpoint(action); }
   void execute(const AckRequest& action);
   void execute(const LogMessage& action);
   void execute(const InvariantViolated& action);
--- a/src/platform/update_writer.cpp
+++ b/src/platform/update_writer.cpp
@@ -36,6 +36,19 @@
 
 std::map<ProxyId, UpdateWriter::Parts> UpdateWriter::take_messages() { return std::exchange(messages_, {}); }
 
+// A part for all classes changes the tables that the proxy brought along. Unlike an exclusion, which a proxy
+// keeps over its streams, the removal leaves nothing to undo when the endpoint becomes available again.
+void UpdateWriter::remove_held_endpoint(const RemoveHeldEndpoint& action) {
+  if (!tables_.is_registered(action.proxy)) return;
+  add_message(action.proxy);
+  const std::string* uid = catalog_.uid(action.endpoint);
+  if (uid == nullptr) return;
+  const ClassMask all_classes = tables_.all_classes();
+  UpdatePart& part =
+      find_or_add_part(messages_[action.proxy], all_classes, [](const UpdatePart&) { return true; });
+  part.weights.push_back({*uid, 0});
+}
+
 void UpdateWriter::write(ProxyId proxy, const assignments::Update& update) {
   // The proxy receives a message even if no part of the update can be written, because the controller has
   // counted the message.
--- a/src/platform/update_writer.h
+++ b/src/platform/update_writer.h
@@ -41,6 +41,8 @@
   void apply(const TableAction& action) {
     tables_.apply(action, [this](ProxyId proxy, const assignments::Update& update) { write(proxy, update); });
   }
+  // Adds the removal of an endpoint from all tables that the proxy holds from earlier streams.
+  void remove_held_endpoint(const RemoveHeldEndpoint& action);
   // Ensures that the proxy receives a message in this batch, even one that only requests an ack.
   void add_message(ProxyId proxy) { messages_[proxy]; }
 
--- a/src/policy/actions.h
+++ b/src/policy/actions.h
@@ -47,6 +47,12 @@
   EndpointId endpoint{};
   bool excluded = true;  // false: ends the exclusion
 };
+// Removes the endpoint from the tables that the proxy holds from earlier streams. Valid until the proxy gets its
+// first table of this controller.
+struct RemoveHeldEndpoint {
+  ProxyId proxy{};
+  EndpointId endpoint{};
+};
 struct SetAdmissionLimit {
   TableId table{};
   bool all_tables = false;
@@ -68,8 +74,8 @@
 };
 
 // The order of the alternatives is part of the flight record format.
-using Action =
-    std::variant<Subscribe, FetchEndpoints, SetTimer, SendHealthCheck, SendPeerMessage, SetWeight, ClearTable,
-                 AssignTable, ExcludeEndpoint, SetAdmissionLimit, AckRequest, LogMessage, InvariantViolated>;
+using Action = std::variant<Subscribe, FetchEndpoints, SetTimer, SendHealthCheck, SendPeerMessage, SetWeight,
+                            ClearTable, AssignTable, ExcludeEndpoint, SetAdmissionLimit, AckRequest,
+                            LogMessage, InvariantViolated, RemoveHeldEndpoint>;
 
 }  // namespace beamshunt
--- a/src/policy/controller.cpp
+++ b/src/policy/controller.cpp
@@ -11,6 +11,7 @@
 #include "policy/channel_budget.h"
 #include "policy/endpoint_registry.h"
 #include "policy/fleet_state.h"
+#include "policy/held_table_cleaner.h"
 #include "policy/load_balancer.h"
 #include "policy/load_estimator.h"
 #include "policy/locality_spillover.h"
@@ -28,6 +29,11 @@
 
 // Interval of the BFAIR and weight steps, as in the paper.
 constexpr Duration kStepInterval{1000};
+// Fraction of the time allowed without endpoints after which a proxy gets its tables before others are told of
+// removals.
+constexpr double kOverdueFraction = 0.25;
+// Time between two attempts to tell waiting proxies of removals.
+constexpr Duration kHeldTableInterval{50};
 // Lines for the first update of a new group, which is written in full because a proxy must not get incomplete
 // tables.
 constexpr double kUnlimitedLines = 1e6;
@@ -35,7 +41,7 @@
 }  // namespace
 
 struct Controller::State {
-  explicit State(Settings s) : settings(std::move(s)) {}
+  State(Settings s, HostCapabilities c) : settings(std::move(s)), capabilities(c) {}
 
   std::vector<Action> handle(Time time, const std::vector<Event>& events);
 
@@ -57,7 +63,12 @@
   void run_period();
   void run_step();
   void publish();
+  void clean_held_tables();
   void assign_proxies();
+  // Assigns tables to proxies that may have been without endpoints for long (rule 1), before further removals.
+  void assign_overdue_proxies();
+  [[nodiscard]] bool may_assign_proxy() const;
+  void assign_next_proxy();
   void assign(ProxyId id, Proxy& proxy);
 
   // Returns the retry modes by class. They are computed at most once in a batch.
@@ -75,6 +86,7 @@
   }
 
   const Settings settings;  // referenced by the modules
+  const HostCapabilities capabilities;
   ProxyGroupMap groups;
   EndpointRegistry endpoint_registry{settings};
   ProxyRegistry proxy_registry{settings};
@@ -86,6 +98,7 @@
   Subsetter subsetter{settings};
   ChannelBudget budget{settings};
   UpdateScheduler scheduler{settings, budget};
+  HeldTableCleaner held_tables{budget};
   ShardAssignment shards{settings};
 
   Time now{};
@@ -120,6 +133,8 @@
   bool due = period_due || endpoint_list_changed || (attempt && now >= *attempt);
   if (!period_due) endpoint_list_changed = false;
   if (due) publish();
+  assign_overdue_proxies();
+  clean_held_tables();
   assign_proxies();
   if (auto sequence_number = budget.finish_messages(now))
     actions.emplace_back(AckRequest{*sequence_number, false});
@@ -127,7 +142,9 @@
 }
 
 void Controller::State::apply(const EndpointList& event) {
-  endpoint_list_changed |= endpoint_registry.apply(event, estimator.relative_capacities(), now);
+  if (!endpoint_registry.apply(event, estimator.relative_capacities(), now)) return;
+  endpoint_list_changed = true;
+  if (capabilities.remove_held_endpoints) held_tables.endpoints_changed(proxy_registry.unassigned());
 }
 
 void Controller::State::apply(const EndpointReport& event) {
@@ -149,8 +166,10 @@
 
 void Controller::State::apply(const ProxyRegistered& event) {
   Proxy proxy = proxy_registry.make_proxy(event);
+  proxy.registered_at = now;
   apply(ProxyDisconnected{event.proxy});  // a new stream replaces the previous one
   proxy_registry.add(event.proxy, std::move(proxy));
+  if (capabilities.remove_held_endpoints) held_tables.add_proxy(event.proxy);
 }
 
 void Controller::State::apply(const ProxyDisconnected& event) {
@@ -212,17 +231,38 @@
   if (attempt && *attempt < next_period) actions.emplace_back(SetTimer{*attempt, 0});
 }
 
+void Controller::State::clean_held_tables() {
+  held_tables.write(proxy_registry, endpoint_registry.endpoints(), scheduler.max_priority_lines(),
+                    scheduler.gather_time(), now, actions);
+  if (held_tables.any_waiting()) actions.emplace_back(SetTimer{now + kHeldTableInterval, 0});
+}
+
 void Controller::State::assign_proxies() {
   // After a start without an endpoint list, assigning empty tables would replace the tables that proxies have
   // and leave them without endpoints (rule 1).
   if (endpoint_registry.endpoints().empty()) return;
   // Assigning many proxies that register together would exceed the queue limit of the channel (rule 5). A
   // proxy that cannot be assigned yet waits and keeps its present tables.
-  while (proxy_registry.any_unassigned() && scheduler.can_assign_proxies(now)) {
-    ProxyId id = proxy_registry.pop_unassigned();
-    Proxy* proxy = proxy_registry.find(id);
-    if (proxy != nullptr && !proxy->assigned) assign(id, *proxy);
-  }
+  while (proxy_registry.any_unassigned() && may_assign_proxy()) assign_next_proxy();
+}
+
+void Controller::State::assign_overdue_proxies() {
+  auto is_overdue = [&] {
+    std::optional<Time> put_first_at = proxy_registry.next_put_first_at();
+    return put_first_at && now - *put_first_at >= settings.max_time_without_endpoints * kOverdueFraction;
+  };
+  while (is_overdue() && budget.queued_lines(now) < scheduler.max_priority_lines()) assign_next_proxy();
+}
+
+bool Controller::State::may_assign_proxy() const {
+  if (!scheduler.has_room_for_assignments(now) || scheduler.priority_update_deferred()) return false;
+  return proxy_registry.next_put_first_at() || !held_tables.lacks_lines();
+}
+
+void Controller::State::assign_next_proxy() {
+  ProxyId id = proxy_registry.pop_unassigned();
+  Proxy* proxy = proxy_registry.find(id);
+  if (proxy != nullptr && !proxy->assigned) assign(id, *proxy);
 }
 
 // Assigns tables once for each stream of a proxy, after all other updates of the batch. The state of the
@@ -277,7 +317,8 @@
   }
 }
 
-Controller::Controller(Settings settings) : state_(std::make_unique<State>(std::move(settings))) {}
+Controller::Controller(Settings settings, HostCapabilities capabilities)
+    : state_(std::make_unique<State>(std::move(settings), capabilities)) {}
 Controller::~Controller() = default;
 Controller::Controller(Controller&&) noexcept = default;
 Controller& Controller::operator=(Controller&&) noexcept = default;
--- a/src/policy/controller.h
+++ b/src/policy/controller.h
@@ -12,11 +12,16 @@
 
 namespace beamshunt {
 
+// What the protocol between the host and its proxies allows.
+struct HostCapabilities {
+  bool remove_held_endpoints = true;  // false: the host cannot carry out RemoveHeldEndpoint
+};
+
 // Makes the decisions of one controller. Equal settings and equal sequences of events give equal actions.
 // Instances share no state.
 class Controller {
  public:
-  explicit Controller(Settings settings);
+  explicit Controller(Settings settings, HostCapabilities capabilities = {});
   ~Controller();
   Controller(Controller&&) noexcept;
   Controller& operator=(Controller&&) noexcept;
--- a/src/policy/endpoint_registry.cpp
+++ b/src/policy/endpoint_registry.cpp
@@ -48,7 +48,9 @@
   }
   if (list.kind == EndpointListKind::incremental) return true;
   for (auto& [id, endpoint] : endpoints_) {
-    if (!listed_ids.contains(id)) endpoint.listed.state = EndpointState::removed;
+    if (listed_ids.contains(id)) continue;
+    if (endpoint.available()) endpoint.removal_number = ++removal_count_;
+    endpoint.listed.state = EndpointState::removed;
   }
   return true;
 }
@@ -68,7 +70,9 @@
   bool restarted =
       entry.start_time_known && (!previous.start_time_known || previous.start_time != entry.start_time);
   if (restarted) endpoint = endpoint.after_restart();
+  bool was_available = is_new || endpoint.available();
   endpoint.listed = entry;
+  if (was_available && !endpoint.available()) endpoint.removal_number = ++removal_count_;
   endpoint.listed.capacity = bounded_capacity(entry.capacity);
 }
 
--- a/src/policy/endpoint_registry.h
+++ b/src/policy/endpoint_registry.h
@@ -12,6 +12,7 @@
 // Never: The registry never evaluates the health or load of an endpoint.
 #pragma once
 
+#include <cstdint>
 #include <map>
 
 #include "policy/fleet_state.h"
@@ -47,6 +48,7 @@
   EndpointMap endpoints_;
   Time next_subscription_ = kDistantPast;
   int consecutive_losses_ = 0;
+  std::uint64_t removal_count_ = 0;  // drains and removals so far
 };
 
 }  // namespace beamshunt
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -45,7 +45,8 @@
 struct Endpoint {
   // Written by endpoint_registry.
   ListedEndpoint listed;
-  Time last_listed{};  // end of the last period in which the endpoint was not removed
+  Time last_listed{};                // end of the last period in which the endpoint was not removed
+  std::uint64_t removal_number = 0;  // numbers the drains and removals of all endpoints; 0: always available
 
   // Written by load_estimator. Latencies are in ms and 0 while unknown.
   double latency = 0;                 // smoothed
@@ -108,6 +109,9 @@
   bool assigned = false;         // true: the tables of its group are assigned to the proxy
   double expected_rate = 0;      // requests per second, as stated at registration
   std::vector<double> arrivals;  // requests per second by class, smoothed; negative: not reported yet
+  Time registered_at{};
+  Time removals_sent_at = kDistantPast;   // time of the last removals from the tables that it holds
+  std::uint64_t last_removal_number = 0;  // highest Endpoint::removal_number that it was told of
 };
 using ProxyMap = std::map<ProxyId, Proxy>;
 
--- a/src/policy/proxy_registry.cpp
+++ b/src/policy/proxy_registry.cpp
@@ -50,7 +50,17 @@
   smooth(arrivals, report.arrivals / (report.interval / Duration(1000)), kArrivalSmoothing, arrivals < 0);
 }
 
+std::optional<Time> ProxyRegistry::next_put_first_at() const {
+  if (assigned_first_.empty()) return std::nullopt;
+  return assigned_first_.front().at;
+}
+
 ProxyId ProxyRegistry::pop_unassigned() {
+  if (!assigned_first_.empty()) {
+    ProxyId first = assigned_first_.front().proxy;
+    assigned_first_.pop_front();
+    return first;
+  }
   ProxyId id = unassigned_.front();
   unassigned_.pop_front();
   return id;
--- a/src/policy/proxy_registry.h
+++ b/src/policy/proxy_registry.h
@@ -13,6 +13,7 @@
 #pragma once
 
 #include <deque>
+#include <optional>
 
 #include "policy/demand.h"
 #include "policy/fleet_state.h"
@@ -40,8 +41,15 @@
 
   // Returns whether the queue of unassigned proxies is not empty. It may contain proxies that have
   // disconnected.
-  [[nodiscard]] bool any_unassigned() const { return !unassigned_.empty(); }
-  // Removes and returns the proxy that has waited longest. The queue must not be empty.
+  [[nodiscard]] bool any_unassigned() const { return !unassigned_.empty() || !assigned_first_.empty(); }
+  // Returns the unassigned proxies in the order of registration, with some that have disconnected.
+  [[nodiscard]] const std::deque<ProxyId>& unassigned() const { return unassigned_; }
+  // Puts an unassigned proxy before all others that are not put first.
+  void assign_first(ProxyId id, Time now) { assigned_first_.push_back({id, now}); }
+  // Returns when the proxy that is assigned next was put first, or nothing if it was not.
+  [[nodiscard]] std::optional<Time> next_put_first_at() const;
+  // Removes and returns the proxy that has waited longest, of those put first if there are any. It may have
+  // been returned before. The queue must not be empty.
   ProxyId pop_unassigned();
 
   // Adds the admitted rates of a newly assigned proxy to its group.
@@ -55,12 +63,18 @@
   [[nodiscard]] const Demand& demand() const { return demand_; }
 
  private:
+  struct PutFirst {
+    ProxyId proxy{};
+    Time at{};
+  };
+
   [[nodiscard]] double admitted_rate(const Proxy& proxy, const ProxyGroup* group,
                                      std::size_t request_class) const;
 
   const Settings& settings_;
   ProxyMap proxies_;
-  std::deque<ProxyId> unassigned_;  // queue in the order of registration
+  std::deque<ProxyId> unassigned_;       // queue in the order of registration
+  std::deque<PutFirst> assigned_first_;  // unassigned proxies that come before the queue
   Demand demand_;
   double events_since_sum_ = 0;
 };
--- a/src/policy/update_scheduler.cpp
+++ b/src/policy/update_scheduler.cpp
@@ -21,7 +21,7 @@
 // Fractions of the usable queue that each kind of update may fill, so that there is always room for the more
 // urgent kinds.
 constexpr double kPriorityQueueFraction = 0.7;
-constexpr double kAssignmentQueueFraction = 0.6;
+constexpr double kAssignmentQueueFraction = 0.4;
 constexpr double kOrdinaryQueueFraction = 0.4;
 // Fractions of the messages to a proxy allowed within the window that each kind of update may use.
 constexpr double kPriorityMessageFraction = 0.7;
@@ -29,9 +29,9 @@
 // Minimum time between ordinary updates of a group; weights and rates change once per second.
 constexpr Duration kMinOrdinaryInterval{1000};
 // Fraction of the usable queue above which the channel is busy. Only what a rule requires is urgent then.
-constexpr double kBusyQueueFraction = 0.1;
+constexpr double kBusyQueueFraction = 0.2;
 // Fraction of the queueing time for which a priority change may wait for further changes of its group.
-constexpr double kGatherFraction = 0.5;
+constexpr double kGatherFraction = 0.4;
 // Minimum time between two attempts to write a waiting priority update, which bounds their cost.
 constexpr Duration kMinAttemptInterval{50};
 // Messages allowed within a window if the channel has no limit; higher than any possible count.
@@ -97,7 +97,7 @@
     double fraction = age < gather_time() ? kOrdinaryQueueFraction : kPriorityQueueFraction;
     // A message has costs of its own, so a group waits until all its changes fit. If they never do, because
     // the group is large, they are written in parts.
-    double max_lines = lines_per_member(group, kPriorityQueueFraction * usable_queue_lines());
+    double max_lines = lines_per_member(group, max_priority_lines());
     double lines = lines_per_member(group, fraction * usable_queue_lines() - budget_.queued_lines(fleet.now));
     if (max_lines < 1)
       lines = lines_per_member(group, settings_.max_queued_lines - budget_.queued_lines(fleet.now));
@@ -143,6 +143,8 @@
   return budget_.queued_lines(now) > kBusyQueueFraction * usable_queue_lines();
 }
 
+double UpdateScheduler::max_priority_lines() const { return kPriorityQueueFraction * usable_queue_lines(); }
+
 Duration UpdateScheduler::gather_time() const {
   return (settings_.drain_grace_period - settings_.max_update_delay) * kGatherFraction;
 }
@@ -266,8 +268,7 @@
   }
 }
 
-bool UpdateScheduler::can_assign_proxies(Time now) const {
-  if (priority_update_deferred_) return false;
+bool UpdateScheduler::has_room_for_assignments(Time now) const {
   return budget_.queued_lines(now) <= kAssignmentQueueFraction * usable_queue_lines();
 }
 
--- a/src/policy/update_scheduler.h
+++ b/src/policy/update_scheduler.h
@@ -70,9 +70,15 @@
   // nothing if none waits.
   [[nodiscard]] std::optional<Time> next_priority_attempt() const { return next_priority_attempt_; }
 
-  // Returns whether proxies may be assigned now: the queue has room for assignments, and no removal waits for
-  // lines.
-  [[nodiscard]] bool can_assign_proxies(Time now) const;
+  // Returns the number of queued lines up to which priority updates may be written.
+  [[nodiscard]] double max_priority_lines() const;
+  // Returns the time for which a priority change waits for others while the queue fills up.
+  [[nodiscard]] Duration gather_time() const;
+
+  // Returns whether the last publication had no lines left for a priority update.
+  [[nodiscard]] bool priority_update_deferred() const { return priority_update_deferred_; }
+  // Returns whether the queue has room for assignments.
+  [[nodiscard]] bool has_room_for_assignments(Time now) const;
 
   // Creates the tables that the classes of the settings require and the group does not have yet.
   void create_tables(ProxyGroup& group);
@@ -88,8 +94,6 @@
   [[nodiscard]] double lines_per_member(const ProxyGroup& group, double lines) const;
   // Returns whether so many lines are queued that only what a rule requires is urgent.
   [[nodiscard]] bool is_busy(Time now) const;
-  // Returns the time for which a priority change waits for others of its group while the queue fills up.
-  [[nodiscard]] Duration gather_time() const;
   // Returns the lines that may be queued so that a removal behind them arrives within the grace period.
   [[nodiscard]] double usable_queue_lines() const;
   // Plans another publication for when the channel has sent `lines`.
--- a/src/simulator_adapter/session.cpp
+++ b/src/simulator_adapter/session.cpp
@@ -75,7 +75,9 @@
   std::uint64_t seed = line.integer("nonce64", std::numeric_limits<std::uint64_t>::max());
   auto [settings, names] = settings::parse(seed, settings::parse_pairs(line.rest()));
   instances_.erase(name);
-  instances_.emplace(name, Instance{std::move(names), Controller(std::move(settings)), {}});
+  instances_.emplace(
+      name,
+      Instance{std::move(names), Controller(std::move(settings), {.remove_held_endpoints = false}), {}});
   mark_active(name);
 }
 
--- a/tests/emulator/emulator_test.cpp
+++ b/tests/emulator/emulator_test.cpp
@@ -130,6 +130,14 @@
   EXPECT_GT(result.service, 0.99);
 }
 
+// Guards against proxies that wait for their tables after a restart and hear of no drain meanwhile.
+TEST(CrowdedChannel, KeepsDrainsWhileAllProxiesRegisterAgain) {
+  SwarmResult result = swarm({source("days/crowded/many-proxies.cue"), source("days/crowded/restart.cue")},
+                             {.days = 8, .seed = 7, .threads = 4});
+  for (const Failure& failure : result.failures) ADD_FAILURE() << failure.seed << ": " << failure.what;
+  EXPECT_GT(result.service, 0.99);
+}
+
 // One proxy before many servers of one core: the part of servers with k jobs or more is load^k for random
 // picks, load^(2^k - 1) for the better of two (Mitzenmacher; Vvedenskaya, Dobrushin and Karpelevich).
 TEST(Calibration, RandomAndTwoChoiceQueuesAreAsLongAsTheorySays) {
--- a/tests/platform/update_writer_test.cpp
+++ b/tests/platform/update_writer_test.cpp
@@ -77,6 +77,31 @@
   EXPECT_EQ(parts[0].classes, 0u);
 }
 
+// Guards against an exclusion in place of the removal: a proxy keeps exclusions over its streams, and nobody
+// would end them after another assigner took over.
+TEST_F(UpdateWriterTest, RemovalFromHeldTablesIsAWeightOfZeroForAllClasses) {
+  writer.remove_held_endpoint({kProxy, endpoint("s-c")});
+  writer.remove_held_endpoint({kProxy, endpoint("s-a")});
+  auto parts = take_parts();
+  ASSERT_EQ(parts.size(), 1u);
+  EXPECT_EQ(parts[0].classes, kBoth);
+  EXPECT_FALSE(parts[0].replaces_table);
+  EXPECT_TRUE(parts[0].excluded.empty());
+  ASSERT_EQ(parts[0].weights.size(), 2u);
+  for (const WeightEntry& entry : parts[0].weights) EXPECT_EQ(entry.weight, 0);
+}
+
+TEST_F(UpdateWriterTest, RemovalFromHeldTablesComesBeforeTheFirstTable) {
+  writer.remove_held_endpoint({kProxy, endpoint("s-c")});
+  writer.apply(SetWeight{kTable, endpoint("s-c"), 1});
+  writer.apply(AssignTable{kBoth, kProxy, kTable});
+  auto parts = take_parts();
+  ASSERT_EQ(parts.size(), 2u);
+  EXPECT_EQ(parts[0].weights[0].weight, 0);
+  EXPECT_TRUE(parts[1].replaces_table);
+  EXPECT_EQ(parts[1].weights[0].weight, 1);
+}
+
 // The controller names an endpoint that the catalog has dropped. The update must omit it, because a proxy
 // closes a stream that names an endpoint which discovery never listed. The message is still sent, because the
 // controller has counted it.
--- a/tests/policy/controller_test.cpp
+++ b/tests/policy/controller_test.cpp
@@ -171,6 +171,9 @@
     if (!ControllerHarness::filter<SetWeight>(harness.last_actions).empty()) updated_proxies = assigned;
     for (const AssignTable& assignment : ControllerHarness::filter<AssignTable>(harness.last_actions))
       updated_proxies.insert(assignment.proxy), assigned.insert(assignment.proxy);
+    for (const RemoveHeldEndpoint& removal :
+         ControllerHarness::filter<RemoveHeldEndpoint>(harness.last_actions))
+      updated_proxies.insert(removal.proxy);
     for (const AckRequest& ack_request : ControllerHarness::filter<AckRequest>(harness.last_actions))
       for (ProxyId proxy : updated_proxies)
         channel.push_back({proxy, harness.settings.update_delay, ack_request.sequence_number});
@@ -232,6 +235,59 @@
   EXPECT_GT(registration.harness.weight(1, 0, 13), 0) << "the entry is sent once all proxies are assigned";
 }
 
+// Guards against proxies that hear of no drain before their complete tables, which came seconds after the grace
+// period when hundreds of proxies registered with a restarted assigner.
+TEST(Drain, IsToldToProxiesThatWaitForTheirTables) {
+  MassRegistration registration;
+  registration.update_list({make_draining_endpoint(11)});
+  std::set<ProxyId> told;
+  Time drain_time = registration.harness.now;
+  while (registration.harness.now - drain_time < registration.harness.settings.drain_grace_period) {
+    for (const auto& removal :
+         ControllerHarness::filter<RemoveHeldEndpoint>(registration.harness.last_actions)) {
+      EXPECT_EQ(removal.endpoint, EndpointId(11));
+      EXPECT_FALSE(registration.assigned.contains(removal.proxy)) << "its tables do not have the endpoint";
+      EXPECT_TRUE(told.insert(removal.proxy).second) << "it was told before";
+    }
+    registration.step();
+  }
+  told.insert(registration.assigned.begin(), registration.assigned.end());
+  EXPECT_EQ(told.size(), MassRegistration::kProxies);
+  for (int k = 0; k < 100; ++k) registration.step();
+  EXPECT_EQ(registration.assigned.size(), MassRegistration::kProxies) << "the assignments continue";
+}
+
+// Guards against waiting proxies that were told to remove all that they hold and then wait behind the others.
+TEST(Drain, AssignsProxiesThatMayHoldFewEndpointsBeforeTheOthers) {
+  MassRegistration registration;
+  registration.send({ProxyRegistered{ProxyId(100), Locality(1), 20, false}});
+  for (unsigned id : {21U, 22U}) {
+    ListedEndpoint removed = make_endpoint(id, 1);
+    removed.state = EndpointState::removed;
+    registration.update_list({removed});
+  }
+  Time removal_time = registration.harness.now;
+  while (registration.harness.now - removal_time < registration.harness.settings.max_time_without_endpoints &&
+         !registration.assigned.contains(ProxyId(100)))
+    registration.step();
+  EXPECT_TRUE(registration.assigned.contains(ProxyId(100)));
+  EXPECT_LT(registration.assigned.size(), MassRegistration::kProxies) << "others still wait";
+}
+
+// The simulator's protocol has no removal for one proxy.
+TEST(Drain, IsNotToldToWaitingProxiesWhereTheHostCannotDoSo) {
+  Settings settings = MassRegistration::make_settings();
+  Controller controller(settings, {.remove_held_endpoints = false});
+  vector<Event> events = {EndpointList{EndpointListKind::cached, kFourEndpoints}};
+  for (unsigned p = 1; p <= MassRegistration::kProxies; ++p)
+    events.emplace_back(ProxyRegistered{ProxyId(p), Locality(0), 20, false});
+  Time now{Duration(50000)};
+  controller.handle(now, events);
+  vector<Action> actions = controller.handle(
+      now + Duration(100), {EndpointList{EndpointListKind::incremental, {make_draining_endpoint(11)}}});
+  EXPECT_TRUE(ControllerHarness::filter<RemoveHeldEndpoint>(actions).empty());
+}
+
 // Two localities with two proxies each. The channel has room for a few lines at a time, until acknowledgements
 // free it.
 struct BusyChannel {
