--- a/src/policy/actions.h
+++ b/src/policy/actions.h
@@ -47,8 +47,8 @@
   EndpointId endpoint{};
   bool excluded = true;  // false: ends the exclusion
 };
-// Removes the endpoint from the tables that the proxy holds from earlier streams. Valid until the proxy gets its
-// first table of this controller.
+// Removes the endpoint from the tables that the proxy holds from earlier streams. Valid until the proxy gets
+// its first table of this controller.
 struct RemoveHeldEndpoint {
   ProxyId proxy{};
   EndpointId endpoint{};
--- a/src/policy/controller.cpp
+++ b/src/policy/controller.cpp
@@ -29,8 +29,8 @@
 
 // Interval of the BFAIR and weight steps, as in the paper.
 constexpr Duration kStepInterval{1000};
-// Fraction of the time allowed without endpoints after which a proxy gets its tables before others are told of
-// removals.
+// Fraction of the time allowed without endpoints after which a proxy gets its tables before others are told
+// of removals.
 constexpr double kOverdueFraction = 0.25;
 // Time between two attempts to tell waiting proxies of removals.
 constexpr Duration kHeldTableInterval{50};
@@ -65,7 +65,8 @@
   void publish();
   void clean_held_tables();
   void assign_proxies();
-  // Assigns tables to proxies that may have been without endpoints for long (rule 1), before further removals.
+  // Assigns tables to proxies that may have been without endpoints for long (rule 1), before further
+  // removals.
   void assign_overdue_proxies();
   [[nodiscard]] bool may_assign_proxy() const;
   void assign_next_proxy();
--- a/src/policy/held_table_cleaner.cpp
+++ b/src/policy/held_table_cleaner.cpp
@@ -6,7 +6,8 @@
 namespace beamshunt {
 namespace {
 
-// Fraction of a locality's endpoints that must be left for proxies to wait for their tables in the usual order.
+// Fraction of a locality's endpoints that must be left for proxies to wait for their tables in the usual
+// order.
 constexpr double kMinKeptFraction = 0.75;
 
 // Returns the unavailable endpoints of which the proxy was not told yet.
@@ -19,9 +20,9 @@
   return unavailable;
 }
 
-// Returns whether the tables that the proxy holds may have lost so many entries that they are soon empty. They are
-// unknown and may be short, so the endpoints of its locality count that are unavailable or started after its
-// registration.
+// Returns whether the tables that the proxy holds may have lost so many entries that they are soon empty.
+// They are unknown and may be short, so the endpoints of its locality count that are unavailable or started
+// after its registration.
 bool may_have_few_endpoints(const Proxy& proxy, const EndpointMap& endpoints) {
   double kept = 0;
   double all = 0;
--- a/src/policy/held_table_cleaner.h
+++ b/src/policy/held_table_cleaner.h
@@ -1,5 +1,5 @@
-// Removals for proxies that wait for their tables. After a restart or the loss of another controller, many proxies
-// register at once and go on with the tables that they hold until new ones are assigned.
+// Removals for proxies that wait for their tables. After a restart or the loss of another controller, many
+// proxies register at once and go on with the tables that they hold until new ones are assigned.
 //
 // Question: Which endpoints must a waiting proxy remove from the tables that it holds, and when is it told?
 // Inputs: the endpoints that drain or are removed and since when; registrations; lines queued in the channel.
--- a/src/policy/update_scheduler.h
+++ b/src/policy/update_scheduler.h
@@ -40,7 +40,8 @@
   UpdateKind kind = UpdateKind::ordinary;
   double available_lines = 0;      // maximum number of lines to add to each member's message
   std::vector<ClassLimit> limits;  // desired limits by class; unused in a priority update
-  // True: entries in the place of removed ones wait while half of a table is left. Unused in an ordinary update.
+  // True: entries in the place of removed ones wait while half of a table is left. Unused in an ordinary
+  // update.
   bool defers_replacements = false;
 };
 
@@ -53,8 +54,8 @@
   void write_priority_updates(ProxyGroupMap& groups, bool has_unassigned_proxies, const FleetView& fleet,
                               std::vector<Action>& actions);
 
-  // Returns the groups in the order in which ordinary updates have to be written. The pointers are valid while
-  // the groups stay in `groups`.
+  // Returns the groups in the order in which ordinary updates have to be written. The pointers are valid
+  // while the groups stay in `groups`.
   [[nodiscard]] static std::vector<ProxyGroupMap::value_type*> ordinary_update_order(ProxyGroupMap& groups);
 
   // Returns the number of lines that an ordinary update may add to each member's message now, or nothing if
@@ -105,8 +106,8 @@
   enum class EntryChanges { all, additions, urgent_decreases };
   void set_entries(Table& table, const UpdateRequest& request, EntryChanges changes, const FleetView& fleet,
                    std::vector<Action>& update) const;
-  // Returns the number of changes of the group that a priority update has to write: removals, urgent decreases
-  // and first entries of empty tables.
+  // Returns the number of changes of the group that a priority update has to write: removals, urgent
+  // decreases and first entries of empty tables.
   [[nodiscard]] double count_priority_changes(const GroupEntry& entry, const FleetView& fleet) const;
   [[nodiscard]] bool is_urgent_decrease(const Endpoint& endpoint, double published, double desired,
                                         const FleetView& fleet) const;
--- a/src/simulator_adapter/codec.cpp
+++ b/src/simulator_adapter/codec.cpp
@@ -341,7 +341,8 @@
   void operator()(const ClearTable& action) { line("RESET_TABLE", action.table); }
   void operator()(const AssignTable& action) { line("POINT", action.classes, action.proxy, action.table); }
   void operator()(const ExcludeEndpoint& action) { line("BENCH", action.endpoint, action.excluded); }
-  // The adapter's controllers have no such capability: the simulator removes an endpoint for all proxies alone.
+  // The adapter's controllers have no such capability: the simulator removes an endpoint for all proxies
+  // alone.
   void operator()(const RemoveHeldEndpoint&) { text_line("PANIC", "removal from the tables of one proxy"); }
   void operator()(const SetAdmissionLimit& action) {
     line("ADMIT", action.all_tables ? TableId{kAllTables} : action.table, action.classes, action.limit,
--- a/tests/emulator/emulator_test.cpp
+++ b/tests/emulator/emulator_test.cpp
@@ -121,8 +121,8 @@
   }
 }
 
-// Guards against removals that arrive seconds after the grace period while a deploy fills a slow channel: each
-// change was sent at once, and the same groups of proxies took the lines each time.
+// Guards against removals that arrive seconds after the grace period while a deploy fills a slow channel:
+// each change was sent at once, and the same groups of proxies took the lines each time.
 TEST(CrowdedChannel, KeepsDrainsWhileMostEndpointsAreReplaced) {
   SwarmResult result = swarm({source("days/crowded/slow-channel.cue"), source("days/crowded/replace.cue")},
                              {.days = 8, .seed = 7, .threads = 4});
--- a/tests/policy/controller_test.cpp
+++ b/tests/policy/controller_test.cpp
@@ -235,8 +235,8 @@
   EXPECT_GT(registration.harness.weight(1, 0, 13), 0) << "the entry is sent once all proxies are assigned";
 }
 
-// Guards against proxies that hear of no drain before their complete tables, which came seconds after the grace
-// period when hundreds of proxies registered with a restarted assigner.
+// Guards against proxies that hear of no drain before their complete tables, which came seconds after the
+// grace period when hundreds of proxies registered with a restarted assigner.
 TEST(Drain, IsToldToProxiesThatWaitForTheirTables) {
   MassRegistration registration;
   registration.update_list({make_draining_endpoint(11)});
@@ -288,8 +288,8 @@
   EXPECT_TRUE(ControllerHarness::filter<RemoveHeldEndpoint>(actions).empty());
 }
 
-// Two localities with two proxies each. The channel has room for a few lines at a time, until acknowledgements
-// free it.
+// Two localities with two proxies each. The channel has room for a few lines at a time, until
+// acknowledgements free it.
 struct BusyChannel {
   static Settings make_settings() {
     Settings settings = two_locality_settings();
